--- /dev/null
+++ b/crates/fl-ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! filbertctl, the operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/fl-fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases and fleet decisions as pure functions.
--- /dev/null
+++ b/crates/fl-ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! The state machine of calls that may not be repeated.
--- /dev/null
+++ b/crates/fl-limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fair queues, admission, adaptive limits and retry budgets as pure data.
--- /dev/null
+++ b/crates/fl-load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load, answer checks, experiments and plots.
--- /dev/null
+++ b/crates/fl-membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership as a pure state machine and its datagram codec.
--- /dev/null
+++ b/crates/fl-node/src/lib.rs
@@ -0,0 +1,8 @@
+//! The node: services around the decisions, wired by the kernel.
+//!
+//! Each module starts one service and registers it under its name; `run` starts them in order. See
+//! `docs/design/010-packages.md`.
+
+pub mod context;
+
+pub use context::{ServiceContext, StartError};
--- /dev/null
+++ b/crates/fl-peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! The protocol between nodes: capnp-rpc over authenticated TCP.
--- /dev/null
+++ b/crates/fl-platform/src/lib.rs
@@ -0,0 +1,8 @@
+//! Clients of the platform's services and of backend servers.
+//!
+//! Every client speaks the published protocol of `fl_protocol::platform` or
+//! `fl_protocol::engine` and never repeats a call by itself; repeating is the caller's decision.
+
+pub mod http;
+
+pub use http::{HttpClient, HttpError, Reuse};
--- /dev/null
+++ b/crates/fl-protocol/src/lib.rs
@@ -0,0 +1,21 @@
+//! Shared types, ids, errors and published shapes.
+//!
+//! Every other package depends on this one and it depends on none of them, so that a decision, a
+//! service and the command line speak of the same things. See `docs/design/010-packages.md`.
+
+pub mod call;
+pub mod chat;
+pub mod configuration;
+pub mod engine;
+pub mod event;
+pub mod ids;
+pub mod member;
+pub mod platform;
+pub mod problem;
+pub mod request;
+
+pub use configuration::{CallClass, Configuration, Model, PlainService, Priority, Workspace};
+pub use ids::*;
+pub use member::{Member, MemberState};
+pub use problem::{Problem, ProblemBody, WhatWasDone};
+pub use request::RequestRecord;
--- /dev/null
+++ b/crates/fl-protocol/src/problem.rs
@@ -0,0 +1,206 @@
+//! What a caller is told when a call is not served: a typed kind, what was done, what to do next.
+//!
+//! Bodies are `application/problem+json`; the kinds are listed for operators in
+//! `docs/OPERATING.md`.
+
+use crate::ids::{RequestId, request_id_text};
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use thiserror::Error;
+
+/// Whether the call took effect, as far as the system can vouch for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WhatWasDone {
+    /// The call was not run and never will be under this answer.
+    NotRun,
+    /// The call may have run; the system will not run it again.
+    Unknown,
+    /// Part of the answer was produced.
+    Partial,
+}
+
+/// Why a call is not served. Each message names the remedy.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum Problem {
+    /// the request is malformed: {0}; correct it and send it again
+    Malformed(String),
+    /// workspace {0} is unknown; check the x-workspace header or ask the operator to declare it
+    UnknownWorkspace(String),
+    /// the workspace key does not match; check the authorization header
+    WrongKey,
+    /// {kind} {name} is not open to this workspace; ask the operator to allow it
+    NotAllowed {
+        /// What was asked for: `model`, `adapter`, `service` or `class`.
+        kind: String,
+        /// Its name.
+        name: String,
+    },
+    /// the body is larger than {limit_bytes} bytes; send a smaller one
+    BodyTooLarge {
+        /// The limit, in bytes.
+        limit_bytes: u64,
+    },
+    /// the idempotency key was used with another body; use a new key for a new call
+    KeyReused,
+    /// the service {0} requires an Idempotency-Key header; choose a key and send it with each try
+    KeyRequired(String),
+    /// no request {0} is known; it ended or was never accepted, so send it anew
+    UnknownRequest(String),
+    /// workspace {workspace} is over its limit; come back later
+    OverLimit {
+        /// The workspace.
+        workspace: String,
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// the deadline cannot be met now; come back later
+    Overloaded {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// no backend server can run this now; come back later
+    NoBackend {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// the table service cannot be reached, so the call was not started; come back later
+    PlatformUnavailable {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// the call was started and its outcome is unknown; ask the service's owner before trying anew
+    OutcomeUnknown,
+    /// the same call is running now; ask again with the same key for its answer
+    StillRunning {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// the request made backend servers fail and is quarantined; change it before sending it again
+    Quarantined,
+    /// the answer could not be completed in time; send the request again
+    GivenUp {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// this node is not ready: {reason}; the balancer will choose another
+    NotReady {
+        /// Why.
+        reason: String,
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// the request was cancelled by its caller
+    Cancelled,
+    /// an internal error: {0}; report it with the request id
+    Internal(String),
+}
+
+/// The published form of a [`Problem`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProblemBody {
+    /// The kind, as `urn:filbertlead:problem:<kind>`.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// The message.
+    pub title: String,
+    /// The HTTP status, also inside a stream that had begun.
+    pub status: u16,
+    /// Whether the call took effect.
+    pub what_was_done: WhatWasDone,
+    /// The request it concerns, in hexadecimal, once there is one.
+    pub request_id: Option<String>,
+    /// When to come back, in seconds, where coming back helps.
+    pub retry_after_s: Option<u64>,
+}
+
+impl Problem {
+    /// The stable name of the kind, used in bodies, metrics and logs.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Problem::Malformed(_) => "malformed",
+            Problem::UnknownWorkspace(_) => "unknown-workspace",
+            Problem::WrongKey => "wrong-key",
+            Problem::NotAllowed { .. } => "not-allowed",
+            Problem::BodyTooLarge { .. } => "body-too-large",
+            Problem::KeyReused => "key-reused",
+            Problem::KeyRequired(_) => "key-required",
+            Problem::UnknownRequest(_) => "unknown-request",
+            Problem::OverLimit { .. } => "over-limit",
+            Problem::Overloaded { .. } => "overloaded",
+            Problem::NoBackend { .. } => "no-backend",
+            Problem::PlatformUnavailable { .. } => "platform-unavailable",
+            Problem::OutcomeUnknown => "outcome-unknown",
+            Problem::StillRunning { .. } => "still-running",
+            Problem::Quarantined => "quarantined",
+            Problem::GivenUp { .. } => "given-up",
+            Problem::NotReady { .. } => "not-ready",
+            Problem::Cancelled => "cancelled",
+            Problem::Internal(_) => "internal",
+        }
+    }
+
+    /// The HTTP status of the kind.
+    pub fn status(&self) -> u16 {
+        match self {
+            Problem::Malformed(_) | Problem::KeyRequired(_) => 400,
+            Problem::UnknownWorkspace(_) | Problem::WrongKey => 401,
+            Problem::NotAllowed { .. } => 403,
+            Problem::UnknownRequest(_) => 404,
+            Problem::StillRunning { .. } | Problem::Cancelled => 409,
+            Problem::BodyTooLarge { .. } => 413,
+            Problem::KeyReused | Problem::Quarantined => 422,
+            Problem::OverLimit { .. } => 429,
+            Problem::Internal(_) => 500,
+            Problem::OutcomeUnknown => 502,
+            Problem::Overloaded { .. }
+            | Problem::NoBackend { .. }
+            | Problem::PlatformUnavailable { .. }
+            | Problem::NotReady { .. } => 503,
+            Problem::GivenUp { .. } => 504,
+        }
+    }
+
+    /// When coming back helps, and how long to wait.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Problem::OverLimit { retry_after, .. }
+            | Problem::Overloaded { retry_after }
+            | Problem::NoBackend { retry_after }
+            | Problem::PlatformUnavailable { retry_after }
+            | Problem::StillRunning { retry_after }
+            | Problem::GivenUp { retry_after }
+            | Problem::NotReady { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        }
+    }
+
+    /// Whether the call took effect.
+    pub fn what_was_done(&self) -> WhatWasDone {
+        match self {
+            Problem::OutcomeUnknown | Problem::StillRunning { .. } | Problem::Internal(_) => {
+                WhatWasDone::Unknown
+            }
+            Problem::GivenUp { .. } | Problem::Cancelled => WhatWasDone::Partial,
+            _ => WhatWasDone::NotRun,
+        }
+    }
+
+    /// The published form.
+    pub fn body(&self, request_id: Option<RequestId>) -> ProblemBody {
+        ProblemBody {
+            kind: format!("urn:filbertlead:problem:{}", self.kind()),
+            title: self.to_string(),
+            status: self.status(),
+            what_was_done: self.what_was_done(),
+            request_id: request_id.map(request_id_text),
+            retry_after_s: self.retry_after().map(whole_seconds),
+        }
+    }
+}
+
+/// Rounds up to whole seconds, at least one, as `Retry-After` wants them.
+pub fn whole_seconds(wait: Duration) -> u64 {
+    wait.as_millis().div_ceil(1000).max(1) as u64
+}
--- /dev/null
+++ b/crates/fl-routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing decisions as pure functions: policies, prefix homes, load estimates.
--- /dev/null
+++ b/crates/fl-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform's services and the backend servers.
--- /dev/null
+++ b/crates/fl-timeline/src/lib.rs
@@ -0,0 +1,1 @@
+//! Hybrid logical clock and the bounded ring of typed events.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The serving node: one process on each entry VM.
+
+fn main() {}
