Add the token text by which callers verify stand-in answers

Cause: every test needs to tell its own answer from another's. Change: a token names its offset and a hash of its prompt.

--- a/crates/fl-protocol/src/engine.rs
+++ b/crates/fl-protocol/src/engine.rs
@@ -141,3 +141,10 @@
     }
     hashes
 }
+
+/// The text of one token as the stand-in engines produce it, from the prompt and the offset alone.
+///
+/// A caller that knows its prompt can so verify that an answer is whole and its own.
+pub fn stand_in_token(prompt: &str, offset: TokenOffset) -> String {
+    format!("{offset}.{:08x} ", hash64(&[prompt.as_bytes()]) as u32)
+}
