--- a/crates/fl-kernel/src/services.rs
+++ b/crates/fl-kernel/src/services.rs
@@ -9,8 +9,8 @@
 use fl_protocol::event::EventKind;
 use fl_protocol::platform::{Vm, VmKind};
 use fl_protocol::{
-    AttemptNumber, BlockHash, CallClass, Configuration, Fingerprint, Member, Problem, RequestId,
-    RequestRecord, TokenOffset, UnixMs, VmName, WorkspaceName,
+    AttemptNumber, BlockHash, CallClass, Configuration, Fingerprint, Member, OwnerEpoch, Problem,
+    RequestId, RequestRecord, TokenOffset, UnixMs, VmName, WorkspaceName,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -178,15 +178,20 @@
 pub trait Peers: Send + Sync {
     /// Keeps a copy of a record at the peer.
     async fn put_record(&self, to: &Member, record: &RequestRecord) -> Result<(), PeerError>;
-    /// Drops the copy.
-    async fn drop_record(&self, to: &Member, id: RequestId) -> Result<(), PeerError>;
+    /// Drops the copy, unless it belongs to a later owner than `epoch`.
+    async fn drop_record(
+        &self,
+        to: &Member,
+        id: RequestId,
+        epoch: OwnerEpoch,
+    ) -> Result<(), PeerError>;
     /// Asks for the record of a request.
     async fn find_record(
         &self,
         to: &Member,
         id: RequestId,
     ) -> Result<Option<RequestRecord>, PeerError>;
-    /// Makes the peer the owner, with the text so far.
+    /// Gives the peer the record with the text so far; the record's owner says who carries it on.
     async fn hand_over(
         &self,
         to: &Member,
@@ -194,11 +199,14 @@
         tokens: &[String],
     ) -> Result<(), PeerError>;
     /// Takes a request over from a guardian: its record under the new owner and the text it has.
+    ///
+    /// `None` when the guardian's record has left `seen_epoch`, since another node was first.
     async fn take_over(
         &self,
         from: &Member,
         id: RequestId,
         new_owner: &VmName,
+        seen_epoch: OwnerEpoch,
     ) -> Result<Option<HandedRequest>, PeerError>;
     /// Reads tokens of a request from its owner, waiting up to `wait` for the first.
     async fn read_tokens(
@@ -296,13 +304,18 @@
     /// See [`Peers::put_record`].
     fn put_record(&self, record: RequestRecord);
     /// See [`Peers::drop_record`].
-    fn drop_record(&self, id: RequestId);
+    fn drop_record(&self, id: RequestId, epoch: OwnerEpoch);
     /// See [`Peers::find_record`].
     fn find_record(&self, id: RequestId) -> Option<RequestRecord>;
     /// See [`Peers::hand_over`].
     fn hand_over(&self, handed: HandedRequest);
     /// See [`Peers::take_over`].
-    fn take_over(&self, id: RequestId, new_owner: VmName) -> Option<HandedRequest>;
+    fn take_over(
+        &self,
+        id: RequestId,
+        new_owner: VmName,
+        seen_epoch: OwnerEpoch,
+    ) -> Option<HandedRequest>;
     /// See [`Peers::read_tokens`].
     async fn read_tokens(
         &self,
@@ -318,6 +331,8 @@
     fn told(&self, news: Vec<News>);
     /// See [`Peers::fetch_vms`].
     fn vms(&self) -> Vec<Vm>;
+    /// Takes word that a connection did not prove the fleet key.
+    fn stranger_refused(&self, address: std::net::SocketAddr, reason: String);
 }
 
 /// Takes events for the time line.
--- a/crates/fl-node/src/context.rs
+++ b/crates/fl-node/src/context.rs
@@ -5,6 +5,7 @@
 use fl_kernel::{Registry, RegistryError};
 use std::sync::Arc;
 use thiserror::Error;
+use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -21,6 +22,18 @@
     pub cancel: CancellationToken,
     /// Where tasks are spawned that the node waits for at its end.
     pub tasks: TaskTracker,
+    /// Where tasks run, whichever thread spawns them.
+    pub runtime: Handle,
+}
+
+impl ServiceContext {
+    /// Spawns a task that the node waits for at its end.
+    pub fn spawn<F>(&self, task: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.tasks.spawn_on(task, &self.runtime);
+    }
 }
 
 /// Why a service did not start.
--- /dev/null
+++ b/crates/fl-node/src/front.rs
@@ -0,0 +1,201 @@
+//! The callers' side: HTTP/1.1, every connection bounded in head, body and time.
+//!
+//! `docs/API.md` is the page for callers.
+
+mod auth;
+mod chat;
+mod events;
+pub mod reply;
+mod requests;
+pub mod services;
+
+use crate::context::{ServiceContext, StartError};
+use crate::readiness::Readiness;
+use crate::streams::{Links, Streams};
+use bytes::Bytes;
+use fl_kernel::RegistryError;
+use fl_kernel::services::EventLog;
+use fl_protocol::Problem;
+use fl_protocol::chat::{CHAT_PATH, REQUESTS_PATH, SERVICES_PATH};
+use fl_protocol::event::EventKind;
+use http::{Method, Request, Response, header};
+use http_body_util::{BodyExt as _, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use reply::ReplyBody;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// The smallest buffer the HTTP library takes.
+const MIN_BUFFER_BYTES: usize = 8192;
+const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+
+/// What the front works with.
+pub struct Front {
+    context: ServiceContext,
+    streams: Arc<Streams>,
+    links: Arc<Links>,
+    events: Arc<dyn EventLog>,
+    readiness: Arc<Readiness>,
+}
+
+/// Starts to listen for callers.
+pub async fn start(
+    context: &ServiceContext,
+    streams: Arc<Streams>,
+    readiness: Arc<Readiness>,
+) -> Result<(), StartError> {
+    let address = context.settings.listen.callers;
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|error| StartError::Listen(address.to_string(), error.to_string()))?;
+    let links = Arc::new(streams.links()?);
+    let events = context.registry.find::<dyn EventLog>(fl_kernel::names::EVENT_LOG)?;
+    let front = Front { context: context.clone(), streams, links, events, readiness };
+    context.spawn(listen(Arc::new(front), listener));
+    Ok(())
+}
+
+async fn listen(front: Arc<Front>, listener: TcpListener) {
+    let cancel = front.context.cancel.clone();
+    loop {
+        tokio::select! {
+            () = cancel.cancelled() => return,
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    let front = front.clone();
+                    front.context.clone().spawn(serve(front, stream));
+                }
+            }
+        }
+    }
+}
+
+/// Serves one connection; when the node stops, the answer under way is finished first.
+async fn serve(front: Arc<Front>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let limits = &front.context.settings.limits;
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES));
+    let accepting = front.context.accepting.clone();
+    let cancel = front.context.cancel.clone();
+    let service = service_fn(move |request| {
+        let front = front.clone();
+        async move { Ok::<_, Infallible>(answer(front, request).await) }
+    });
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = &mut connection => return,
+        () = accepting.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = cancel.run_until_cancelled(connection).await;
+}
+
+async fn answer(front: Arc<Front>, request: Request<Incoming>) -> Response<ReplyBody> {
+    match route(&front, request).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            let kind = refusal.problem.kind();
+            metrics::counter!("fl_requests_refused_total", "kind" => kind).increment(1);
+            front.events.record(EventKind::Refused, refusal.id, kind.to_string());
+            reply::problem(&refusal.problem, refusal.id)
+        }
+    }
+}
+
+/// A call that was not served, and the request it concerns.
+pub struct Refusal {
+    /// Why.
+    pub problem: Problem,
+    /// The request, once it has an id.
+    pub id: Option<fl_protocol::RequestId>,
+}
+
+impl From<Problem> for Refusal {
+    fn from(problem: Problem) -> Self {
+        Refusal { problem, id: None }
+    }
+}
+
+async fn route(
+    front: &Arc<Front>,
+    request: Request<Incoming>,
+) -> Result<Response<ReplyBody>, Refusal> {
+    if front.context.accepting.is_cancelled() {
+        let reason = "it is shutting down".to_string();
+        return Err(Problem::NotReady { reason, retry_after: NOT_READY_RETRY }.into());
+    }
+    if let Some(reason) = front.readiness.missing() {
+        return Err(Problem::NotReady { reason, retry_after: NOT_READY_RETRY }.into());
+    }
+    let (head, body) = request.into_parts();
+    let caller = auth::authenticate(front, &head.headers)?;
+    let path = head.uri.path().to_string();
+    if path == CHAT_PATH {
+        if head.method != Method::POST {
+            return Err(malformed("use POST for model calls").into());
+        }
+        let body = read_body(front, &head.headers, body).await?;
+        return chat::handle(front, &caller, &head.headers, body).await;
+    }
+    if let Some(id_text) = path.strip_prefix(REQUESTS_PATH) {
+        return requests::handle(front, &caller, &head, id_text).await;
+    }
+    if path.starts_with(SERVICES_PATH) {
+        let body = read_body(front, &head.headers, body).await?;
+        return services::handle(front, &caller, &head, body).await;
+    }
+    Err(malformed(&format!("there is no path {path}")).into())
+}
+
+/// Names what is wrong with a request.
+pub fn malformed(what: &str) -> Problem {
+    Problem::Malformed(what.to_string())
+}
+
+async fn read_body(
+    front: &Front,
+    headers: &http::HeaderMap,
+    body: Incoming,
+) -> Result<Bytes, Problem> {
+    let limits = &front.context.settings.limits;
+    let limit_bytes = limits.body_bytes as u64;
+    let announced = headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    if announced.and_then(|text| text.parse::<u64>().ok()).is_some_and(|size| size > limit_bytes) {
+        return Err(Problem::BodyTooLarge { limit_bytes });
+    }
+    let reading = Limited::new(body, limits.body_bytes).collect();
+    match tokio::time::timeout(limits.body_timeout, reading).await {
+        Err(_) => Err(malformed("the body did not arrive in time")),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Problem::BodyTooLarge { limit_bytes })
+        }
+        Ok(Err(_)) => Err(malformed("the body broke off")),
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+    }
+}
+
+impl Front {
+    /// The caller's configuration and workspace are looked up anew for each call.
+    pub fn configuration(&self) -> Option<Arc<fl_protocol::Configuration>> {
+        self.streams.configuration()
+    }
+
+    /// The registry, for services that are found by name.
+    pub fn registry(&self) -> &fl_kernel::Registry {
+        &self.context.registry
+    }
+}
+
+impl From<RegistryError> for Refusal {
+    fn from(error: RegistryError) -> Self {
+        Problem::Internal(error.to_string()).into()
+    }
+}
--- /dev/null
+++ b/crates/fl-node/src/front/auth.rs
@@ -0,0 +1,57 @@
+//! Who calls: the workspace and the proof of its key.
+
+use super::{Front, malformed};
+use fl_protocol::chat::{CLASS_HEADER, WORKSPACE_HEADER};
+use fl_protocol::{CallClass, Configuration, Problem, Workspace, sha256_hex};
+use http::{HeaderMap, header};
+use std::sync::Arc;
+use subtle::ConstantTimeEq as _;
+
+/// An authenticated caller, under one configuration for the whole call.
+pub struct Caller {
+    /// The configuration in force when the call came.
+    pub configuration: Arc<Configuration>,
+    /// The workspace.
+    pub workspace: Workspace,
+    /// The class of the call.
+    pub class: CallClass,
+}
+
+/// Checks the workspace, its key and the class of the call.
+pub fn authenticate(front: &Front, headers: &HeaderMap) -> Result<Caller, Problem> {
+    let configuration = front.configuration().unwrap_or_default();
+    let name = text(headers, WORKSPACE_HEADER)?
+        .ok_or_else(|| malformed("the x-workspace header is missing"))?;
+    let workspace = configuration
+        .workspace(&name)
+        .cloned()
+        .ok_or_else(|| Problem::UnknownWorkspace(name.clone()))?;
+    check_key(&workspace, headers)?;
+    let class = find_class(&workspace, text(headers, CLASS_HEADER)?)?;
+    Ok(Caller { configuration, workspace, class })
+}
+
+/// Reads a header as text.
+pub fn text(headers: &HeaderMap, name: &str) -> Result<Option<String>, Problem> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let text = value.to_str().map_err(|_| malformed(&format!("header {name} is not text")))?;
+    Ok(Some(text.to_string()))
+}
+
+fn check_key(workspace: &Workspace, headers: &HeaderMap) -> Result<(), Problem> {
+    let given = text(headers, header::AUTHORIZATION.as_str())?.ok_or(Problem::WrongKey)?;
+    let key = given.strip_prefix("Bearer ").ok_or(Problem::WrongKey)?;
+    let digest = sha256_hex(key.as_bytes());
+    let same = digest.as_bytes().ct_eq(workspace.key_sha256_hex.as_bytes());
+    if bool::from(same) { Ok(()) } else { Err(Problem::WrongKey) }
+}
+
+fn find_class(workspace: &Workspace, name: Option<String>) -> Result<CallClass, Problem> {
+    let found = match &name {
+        Some(name) => workspace.class(name),
+        None => workspace.classes.first(),
+    };
+    let not_allowed =
+        || Problem::NotAllowed { kind: "class".to_string(), name: name.unwrap_or_default() };
+    found.cloned().ok_or_else(not_allowed)
+}
--- /dev/null
+++ b/crates/fl-node/src/front/chat.rs
@@ -0,0 +1,138 @@
+//! Model calls.
+
+use super::auth::{self, Caller};
+use super::{Front, Refusal, events, malformed, reply};
+use crate::streams::{self, AdmittedCall, AnswerReader, ReadStep};
+use bytes::Bytes;
+use fl_protocol::chat::{
+    AnswerChoice, ChatAnswer, ChatMessage, ChatRequest, IDEMPOTENCY_KEY_HEADER, Usage, count_tokens,
+};
+use fl_protocol::{Problem, ProblemBody, RequestId, request_id_of_key, request_id_text};
+use http::{HeaderMap, Response, StatusCode};
+use reply::ReplyBody;
+use std::sync::Arc;
+use std::time::Duration;
+
+const COME_BACK_AFTER: Duration = Duration::from_secs(1);
+
+/// Serves a model call, or the answer of the same call sent before.
+pub async fn handle(
+    front: &Arc<Front>,
+    caller: &Caller,
+    headers: &HeaderMap,
+    body: Bytes,
+) -> Result<Response<ReplyBody>, Refusal> {
+    let body_json =
+        String::from_utf8(body.to_vec()).map_err(|_| malformed("the body is not UTF-8"))?;
+    let chat: ChatRequest = serde_json::from_str(&body_json)
+        .map_err(|error| malformed(&format!("the body is no chat request: {error}")))?;
+    check_model(caller, &chat.model)?;
+    let key = auth::text(headers, IDEMPOTENCY_KEY_HEADER)?;
+    let id = match &key {
+        Some(key) => request_id_of_key(&caller.workspace.name, key),
+        None => rand::random::<RequestId>(),
+    };
+    let streamed = chat.stream;
+    let reader = accept(front, caller, id, key.is_some(), body_json, chat)
+        .await
+        .map_err(|problem| Refusal { problem, id: Some(id) })?;
+    if streamed { Ok(events::stream(reader, id)) } else { Ok(collect(reader, id).await) }
+}
+
+async fn accept(
+    front: &Arc<Front>,
+    caller: &Caller,
+    id: RequestId,
+    sent_before: bool,
+    body_json: String,
+    chat: ChatRequest,
+) -> Result<AnswerReader, Problem> {
+    if sent_before && let Some(reader) = find(front, id).await {
+        if reader.record().fingerprint != streams::fingerprint(&body_json) {
+            return Err(Problem::KeyReused);
+        }
+        return Ok(reader);
+    }
+    let prompt_tokens = count_tokens(&chat.prompt_text());
+    let admission = front.links.admission();
+    let (name, class) = (&caller.workspace.name, &caller.class);
+    let permit = admission.admit(name, class, prompt_tokens, chat.max_tokens).await?;
+    let call =
+        AdmittedCall { id, workspace: name.clone(), class: class.clone(), body_json, chat, permit };
+    let request = front.streams.accept(call).await?;
+    Ok(AnswerReader::local(front.streams.clone(), front.links.clone(), request, 0, 0))
+}
+
+async fn find(front: &Arc<Front>, id: RequestId) -> Option<AnswerReader> {
+    AnswerReader::find(front.streams.clone(), front.links.clone(), id, 0, 0).await
+}
+
+fn check_model(caller: &Caller, name: &str) -> Result<(), Problem> {
+    let refuse =
+        |kind: &str| Problem::NotAllowed { kind: kind.to_string(), name: name.to_string() };
+    let (model, adapter) = match name.split_once(':') {
+        Some((model, adapter)) => (model, Some(adapter.to_string())),
+        None => (name, None),
+    };
+    let declared = caller.configuration.model(model).ok_or_else(|| refuse("model"))?;
+    if adapter.is_some_and(|adapter| declared.adapters.binary_search(&adapter).is_err()) {
+        return Err(refuse("adapter"));
+    }
+    if caller.workspace.may_call_model(name) { Ok(()) } else { Err(refuse("model")) }
+}
+
+/// Waits for the whole answer, for callers that do not stream.
+pub async fn collect(mut reader: AnswerReader, id: RequestId) -> Response<ReplyBody> {
+    let mut content = String::new();
+    let mut completion_tokens = 0;
+    loop {
+        match reader.next().await {
+            ReadStep::Tokens { tokens, .. } => {
+                completion_tokens += tokens.len() as u64;
+                content.extend(tokens);
+            }
+            ReadStep::Restart => {
+                content.clear();
+                completion_tokens = 0;
+            }
+            ReadStep::Idle => {}
+            ReadStep::Whole => {
+                let body_json = &reader.record().body_json;
+                return whole_answer(body_json, id, content, completion_tokens);
+            }
+            ReadStep::Failed(problem_json) => return failed(&problem_json, id),
+            ReadStep::Moved => {
+                let reason = "the request goes on at another node".to_string();
+                let problem = Problem::NotReady { reason, retry_after: COME_BACK_AFTER };
+                return reply::problem(&problem, Some(id));
+            }
+        }
+    }
+}
+
+fn whole_answer(
+    body_json: &str,
+    id: RequestId,
+    content: String,
+    completion_tokens: u64,
+) -> Response<ReplyBody> {
+    let prompt = serde_json::from_str::<ChatRequest>(body_json).map(|chat| chat.prompt_text());
+    let prompt_tokens = prompt.map_or(0, |text| count_tokens(&text));
+    let message = ChatMessage { role: "assistant".to_string(), content };
+    let answer = ChatAnswer {
+        id: request_id_text(id),
+        choices: vec![AnswerChoice { index: 0, message, finish_reason: "stop".to_string() }],
+        usage: Usage { prompt_tokens, completion_tokens },
+    };
+    let json = streams::to_json(&answer);
+    reply::respond(StatusCode::OK, "application/json", Some(id), reply::full(json))
+}
+
+fn failed(problem_json: &str, id: RequestId) -> Response<ReplyBody> {
+    let status = serde_json::from_str::<ProblemBody>(problem_json)
+        .ok()
+        .and_then(|body| StatusCode::from_u16(body.status).ok())
+        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let body = reply::full(problem_json.to_string());
+    reply::respond(status, "application/problem+json", Some(id), body)
+}
--- /dev/null
+++ b/crates/fl-node/src/front/reply.rs
@@ -0,0 +1,48 @@
+//! Bodies and headers of answers.
+
+use bytes::Bytes;
+use fl_protocol::chat::REQUEST_ID_HEADER;
+use fl_protocol::{Problem, RequestId, request_id_text};
+use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt as _, Full};
+use std::convert::Infallible;
+
+/// The body of any answer.
+pub type ReplyBody = UnsyncBoxBody<Bytes, Infallible>;
+
+/// A whole body.
+pub fn full(bytes: impl Into<Bytes>) -> ReplyBody {
+    Full::new(bytes.into()).boxed_unsync()
+}
+
+/// An answer that carries the request's id.
+pub fn respond(
+    status: StatusCode,
+    content_type: &str,
+    id: Option<RequestId>,
+    body: ReplyBody,
+) -> Response<ReplyBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(content_type) {
+        headers.insert(header::CONTENT_TYPE, value);
+    }
+    if let Some(value) = id.and_then(|id| HeaderValue::from_str(&request_id_text(id)).ok()) {
+        headers.insert(HeaderName::from_static(REQUEST_ID_HEADER), value);
+    }
+    response
+}
+
+/// The answer to a call that is not served.
+pub fn problem(problem: &Problem, id: Option<RequestId>) -> Response<ReplyBody> {
+    let body = problem.body(id);
+    let status = StatusCode::from_u16(body.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let json = crate::streams::to_json(&body);
+    let mut response = respond(status, "application/problem+json", id, full(json));
+    if let Some(seconds) = body.retry_after_s {
+        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
--- /dev/null
+++ b/crates/fl-node/src/front/services.rs
@@ -0,0 +1,56 @@
+//! Calls of plain services by name.
+
+use super::auth::{self, Caller};
+use super::{Front, Refusal, malformed, reply};
+use bytes::Bytes;
+use fl_kernel::names;
+use fl_kernel::services::Ledger;
+use fl_protocol::call::ServiceCall;
+use fl_protocol::chat::{IDEMPOTENCY_KEY_HEADER, SERVICES_PATH};
+use fl_protocol::{Problem, RequestId, request_id_of_key};
+use http::request::Parts;
+use http::{Response, StatusCode, header};
+use reply::ReplyBody;
+use std::sync::Arc;
+
+/// Serves `/v1/services/{name}/{path}`.
+pub async fn handle(
+    front: &Arc<Front>,
+    caller: &Caller,
+    head: &Parts,
+    body: Bytes,
+) -> Result<Response<ReplyBody>, Refusal> {
+    let whole = head.uri.path_and_query().map_or(head.uri.path(), |path| path.as_str());
+    let rest = whole.strip_prefix(SERVICES_PATH).unwrap_or_default();
+    let name_length = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (name, path) = rest.split_at(name_length);
+    let id = call_id(caller, head, name)?;
+    let call = ServiceCall {
+        id,
+        workspace: caller.workspace.name.clone(),
+        service: name.to_string(),
+        method: head.method.to_string(),
+        path: if path.starts_with('/') { path.to_string() } else { format!("/{path}") },
+        body: body.to_vec(),
+        content_type: auth::text(&head.headers, header::CONTENT_TYPE.as_str())?
+            .unwrap_or_else(|| "application/octet-stream".to_string()),
+    };
+    let ledger = front.registry().find::<dyn Ledger>(names::LEDGER)?;
+    let answer = ledger.call(call).await.map_err(|problem| Refusal { problem, id: Some(id) })?;
+    let status = StatusCode::from_u16(answer.status).map_err(|_| malformed("unknown status"))?;
+    Ok(reply::respond(status, &answer.content_type, Some(id), reply::full(answer.body)))
+}
+
+fn call_id(caller: &Caller, head: &Parts, name: &str) -> Result<RequestId, Problem> {
+    let not_allowed =
+        || Problem::NotAllowed { kind: "service".to_string(), name: name.to_string() };
+    let service = caller.configuration.service(name).ok_or_else(not_allowed)?;
+    if !caller.workspace.may_call_service(name) {
+        return Err(not_allowed());
+    }
+    match auth::text(&head.headers, IDEMPOTENCY_KEY_HEADER)? {
+        Some(key) => Ok(request_id_of_key(&caller.workspace.name, &key)),
+        None if service.repeatable => Ok(rand::random()),
+        None => Err(Problem::KeyRequired(name.to_string())),
+    }
+}
--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -4,5 +4,8 @@
 //! `docs/design/010-packages.md`.
 
 pub mod context;
+pub mod front;
+pub mod readiness;
+pub mod streams;
 
 pub use context::{ServiceContext, StartError};
--- /dev/null
+++ b/crates/fl-node/src/streams/answer.rs
@@ -0,0 +1,251 @@
+//! An owned request: its record, the answer so far, and who is told of changes.
+
+use fl_kernel::services::{Permit, TokenState};
+use fl_protocol::chat::ChatRequest;
+use fl_protocol::request::{Restart, StreamPlace};
+use fl_protocol::{AttemptNumber, OwnerEpoch, RequestId, RequestRecord, TokenOffset, VmName};
+use parking_lot::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// A request that this node carries.
+pub struct OwnedRequest {
+    /// The request.
+    pub id: RequestId,
+    /// The call.
+    pub chat: ChatRequest,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Is cancelled when the request shall be pursued no further here.
+    pub cancel: CancellationToken,
+    record: Mutex<RequestRecord>,
+    answer: Mutex<Answer>,
+    permit: Mutex<Option<Box<dyn Permit>>>,
+    attempts: AtomicU32,
+    inherited: AtomicBool,
+    changed: watch::Sender<u64>,
+}
+
+struct Answer {
+    tokens: Vec<String>,
+    state: TokenState,
+    readers: u32,
+    last_read_at: Instant,
+    ended_at: Option<Instant>,
+    death_counted: bool,
+}
+
+/// What a reader gets of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerPart {
+    /// The tokens from the asked offset on.
+    pub tokens: Vec<String>,
+    /// How the answer stands after them.
+    pub state: TokenState,
+    /// The epoch its events are marked with.
+    pub text_epoch: OwnerEpoch,
+}
+
+impl OwnedRequest {
+    /// Makes a request with the text that exists already.
+    pub fn new(
+        record: RequestRecord,
+        chat: ChatRequest,
+        tokens: Vec<String>,
+        cancel: CancellationToken,
+        permit: Option<Box<dyn Permit>>,
+    ) -> Self {
+        let prompt_tokens = fl_protocol::chat::count_tokens(&chat.prompt_text());
+        let answer = Answer {
+            tokens,
+            state: TokenState::Running,
+            readers: 0,
+            last_read_at: Instant::now(),
+            ended_at: None,
+            death_counted: false,
+        };
+        OwnedRequest {
+            id: record.id,
+            chat,
+            prompt_tokens,
+            cancel,
+            record: Mutex::new(record),
+            answer: Mutex::new(answer),
+            permit: Mutex::new(permit),
+            attempts: AtomicU32::new(0),
+            inherited: AtomicBool::new(false),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    /// The record as it is now.
+    pub fn record(&self) -> RequestRecord {
+        self.record.lock().clone()
+    }
+
+    /// Changes the record and gives the changed one.
+    pub fn update_record(&self, change: impl FnOnce(&mut RequestRecord)) -> RequestRecord {
+        let mut record = self.record.lock();
+        change(&mut record);
+        record.clone()
+    }
+
+    /// Where the answer is being produced.
+    pub fn place(&self) -> Option<StreamPlace> {
+        self.record.lock().stream.clone()
+    }
+
+    /// Says whether the answer is being produced at a runner.
+    pub fn is_at(&self, runner: &VmName) -> bool {
+        self.record.lock().stream.as_ref().is_some_and(|place| &place.runner == runner)
+    }
+
+    /// Counts a runner's death against this request once an attempt.
+    pub fn count_death(&self) -> bool {
+        let mut answer = self.answer.lock();
+        !std::mem::replace(&mut answer.death_counted, true)
+    }
+
+    /// Numbers the next attempt of this owner, from 1.
+    pub fn next_attempt(&self) -> AttemptNumber {
+        self.attempts.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Begins a new attempt, whose runner's death counts anew.
+    pub fn begin_attempt(&self, place: StreamPlace) -> RequestRecord {
+        self.answer.lock().death_counted = false;
+        self.update_record(|record| record.stream = Some(place))
+    }
+
+    /// The offset of the next token.
+    pub fn next_offset(&self) -> TokenOffset {
+        self.answer.lock().tokens.len() as TokenOffset
+    }
+
+    /// All tokens so far.
+    pub fn tokens(&self) -> Vec<String> {
+        self.answer.lock().tokens.clone()
+    }
+
+    /// How the answer stands.
+    pub fn state(&self) -> TokenState {
+        self.answer.lock().state.clone()
+    }
+
+    /// Says whether the answer is still being produced here.
+    pub fn is_running(&self) -> bool {
+        self.answer.lock().state == TokenState::Running
+    }
+
+    /// Appends tokens that follow on; ignores those it has; `false` when some are missing between.
+    pub fn append(&self, first_offset: TokenOffset, tokens: Vec<String>) -> bool {
+        let mut answer = self.answer.lock();
+        let known = answer.tokens.len() as TokenOffset;
+        if first_offset > known {
+            return false;
+        }
+        let already = (known - first_offset) as usize;
+        let before = answer.tokens.len();
+        answer.tokens.extend(tokens.into_iter().skip(already));
+        let added = (answer.tokens.len() - before) as u64;
+        drop(answer);
+        self.charge(added);
+        self.notify();
+        true
+    }
+
+    /// Marks a request that came from another owner: its callers may hold text that is unknown here.
+    pub fn inherited(self) -> Self {
+        self.inherited.store(true, Ordering::Relaxed);
+        self
+    }
+
+    /// Notes that an engine generates anew from the present offset on.
+    ///
+    /// Callers of an inherited request may hold later tokens of a text that was lost; they have to
+    /// drop them.
+    pub fn generated_anew(&self) {
+        if !self.inherited.swap(false, Ordering::Relaxed) {
+            return;
+        }
+        let from_offset = self.next_offset();
+        self.update_record(|record| {
+            let epoch = record.epoch;
+            record.restarts.push(Restart { epoch, from_offset });
+        });
+    }
+
+    /// Ends the answer; the first end counts.
+    pub fn end(&self, state: TokenState) -> bool {
+        let mut answer = self.answer.lock();
+        if answer.state != TokenState::Running {
+            return false;
+        }
+        answer.state = state;
+        answer.ended_at = Some(Instant::now());
+        drop(answer);
+        *self.permit.lock() = None;
+        self.notify();
+        true
+    }
+
+    /// Reads from an offset without waiting.
+    pub fn read(&self, from: TokenOffset) -> AnswerPart {
+        let text_epoch = self.record.lock().text_epoch();
+        let mut answer = self.answer.lock();
+        answer.last_read_at = Instant::now();
+        let start = (from as usize).min(answer.tokens.len());
+        AnswerPart {
+            tokens: answer.tokens[start..].to_vec(),
+            state: answer.state.clone(),
+            text_epoch,
+        }
+    }
+
+    /// Reads from an offset, waiting for news for a while.
+    pub async fn read_wait(&self, from: TokenOffset, wait: Duration) -> AnswerPart {
+        let mut changes = self.changed.subscribe();
+        let part = self.read(from);
+        if !part.tokens.is_empty() || part.state != TokenState::Running {
+            return part;
+        }
+        let _ = tokio::time::timeout(wait, changes.changed()).await;
+        self.read(from)
+    }
+
+    /// Counts a reader in.
+    pub fn attach(&self) {
+        self.answer.lock().readers += 1;
+    }
+
+    /// Counts a reader out.
+    pub fn detach(&self) {
+        let mut answer = self.answer.lock();
+        answer.readers = answer.readers.saturating_sub(1);
+        answer.last_read_at = Instant::now();
+    }
+
+    /// Says whether nobody has read for the resume window.
+    pub fn is_abandoned(&self, window: Duration) -> bool {
+        let answer = self.answer.lock();
+        answer.readers == 0 && answer.last_read_at.elapsed() > window
+    }
+
+    /// Says whether it ended longer ago than the resume window.
+    pub fn is_expired(&self, window: Duration) -> bool {
+        let answer = self.answer.lock();
+        answer.readers == 0 && answer.ended_at.is_some_and(|at| at.elapsed() > window)
+    }
+
+    fn charge(&self, tokens: u64) {
+        if let Some(permit) = self.permit.lock().as_ref() {
+            permit.charge(tokens);
+        }
+    }
+
+    fn notify(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+}
--- /dev/null
+++ b/crates/fl-node/src/streams/guardian.rs
@@ -0,0 +1,189 @@
+//! Copies of records at guardians: placed at acceptance, renewed when a guardian is lost, taken
+//! over when an owner is.
+
+use super::{Guarded, Links, OwnedRequest, Streams, drive};
+use fl_kernel::services::HandedRequest;
+use fl_protocol::event::EventKind;
+use fl_protocol::rendezvous::sort_by_rank;
+use fl_protocol::{Member, MemberState, RequestId, VmName};
+use std::sync::Arc;
+
+const GUARDIAN_TRIES: usize = 3;
+
+/// Orders the members that may guard a request: other data centres first, each by rank.
+pub fn candidates(members: Vec<Member>, own: &Member, id: RequestId) -> Vec<Member> {
+    let mut able: Vec<Member> = members
+        .into_iter()
+        .filter(|member| member.state.takes_new_work() && member.vm != own.vm)
+        .collect();
+    sort_by_rank(&mut able, &id.to_be_bytes(), |member| &member.vm);
+    able.sort_by_key(|member| member.data_center == own.data_center);
+    able
+}
+
+/// Places the copy of a new request, or of one whose guardian was lost.
+pub async fn place(streams: &Streams, links: &Links, request: &OwnedRequest) {
+    let own = links.membership.self_member();
+    let able = candidates(links.membership.members(), &own, request.id);
+    for member in able.iter().take(GUARDIAN_TRIES) {
+        let record = request.update_record(|record| record.guardian = member.vm.clone());
+        let tokens = known_text(request);
+        let placed = if tokens.is_empty() {
+            links.peers.put_record(member, &record).await
+        } else {
+            links.peers.hand_over(member, &record, &tokens).await
+        };
+        if placed.is_ok() {
+            let kind = if member.data_center == own.data_center {
+                EventKind::GuardianLocal
+            } else {
+                EventKind::GuardianPlaced
+            };
+            links.events.record(kind, Some(request.id), member.vm.clone());
+            return;
+        }
+    }
+    request.update_record(|record| record.guardian = VmName::new());
+    metrics::counter!("fl_requests_without_guardian_total").increment(1);
+    links.events.record(EventKind::GuardianLocal, Some(request.id), "no peer".to_string());
+    let _ = streams;
+}
+
+/// Brings the guardian's copy up to date after a change of the record.
+pub async fn refresh(streams: &Streams, links: &Links, request: &OwnedRequest) {
+    let record = request.record();
+    let Some(guardian) = find_member(links, &record.guardian) else {
+        place(streams, links, request).await;
+        return;
+    };
+    let tokens = known_text(request);
+    if links.peers.hand_over(&guardian, &record, &tokens).await.is_err() {
+        place(streams, links, request).await;
+    }
+}
+
+/// Lets the guardian forget a request that ended.
+pub async fn release(links: &Links, request: &OwnedRequest) {
+    let record = request.record();
+    if let Some(member) = find_member(links, &record.guardian) {
+        let _ = links.peers.drop_record(&member, request.id, record.epoch).await;
+    }
+}
+
+/// Text that the engine cannot give again: what earlier attempts produced.
+fn known_text(request: &OwnedRequest) -> Vec<String> {
+    let base_offset = request.place().map_or(request.next_offset(), |place| place.base_offset);
+    let mut tokens = request.tokens();
+    tokens.truncate(base_offset as usize);
+    tokens
+}
+
+/// Finds a live member by name.
+pub fn find_member(links: &Links, vm: &VmName) -> Option<Member> {
+    let members = links.membership.members();
+    let found = members.into_iter().find(|member| &member.vm == vm);
+    found.filter(|member| member.state != MemberState::Dead)
+}
+
+/// Renews lost guardians and takes over from dead owners whenever the membership changes.
+pub async fn watch_members(streams: Arc<Streams>, links: Arc<Links>) {
+    let mut changes = links.membership.subscribe();
+    let cancel = streams.context.cancel.clone();
+    loop {
+        tokio::select! {
+            () = cancel.cancelled() => return,
+            changed = changes.changed() => if changed.is_err() { return },
+        }
+        take_over_orphans(&streams, &links);
+        renew_guardians(&streams, &links).await;
+    }
+}
+
+async fn renew_guardians(streams: &Arc<Streams>, links: &Arc<Links>) {
+    let members = links.membership.members();
+    for request in streams.owned.all() {
+        let guardian = request.record().guardian;
+        let able =
+            members.iter().any(|member| member.vm == guardian && member.state.takes_new_work());
+        if request.is_running() && !able {
+            place(streams, links, &request).await;
+        }
+    }
+}
+
+fn take_over_orphans(streams: &Arc<Streams>, links: &Arc<Links>) {
+    let members = links.membership.members();
+    let dead = |vm: &VmName| {
+        members.iter().any(|member| &member.vm == vm && member.state == MemberState::Dead)
+    };
+    for guarded in streams.guarded.all() {
+        if dead(&guarded.record.owner) {
+            let epoch = guarded.record.epoch;
+            let own_vm = streams.own_vm().clone();
+            if let Some(handed) = take_guarded(streams, guarded.record.id, own_vm, epoch) {
+                streams.carry_on(links, handed);
+            }
+        }
+    }
+}
+
+/// Gives a guarded request to a new owner; `None` when another was first.
+pub fn take_guarded(
+    streams: &Streams,
+    id: RequestId,
+    new_owner: VmName,
+    seen_epoch: u32,
+) -> Option<HandedRequest> {
+    let taken = streams.guarded.change(id, |guarded| {
+        if guarded.record.epoch != seen_epoch {
+            return None;
+        }
+        guarded.record.epoch += 1;
+        guarded.record.owner = new_owner;
+        Some(HandedRequest { record: guarded.record.clone(), tokens: guarded.tokens.clone() })
+    });
+    taken.flatten()
+}
+
+impl Streams {
+    /// Becomes the owner of a request that was taken over or handed over.
+    pub fn carry_on(
+        self: &Arc<Self>,
+        links: &Arc<Links>,
+        handed: HandedRequest,
+    ) -> Option<Arc<OwnedRequest>> {
+        let HandedRequest { record, tokens } = handed;
+        let id = record.id;
+        self.guarded.remove(id);
+        let chat = serde_json::from_str(&record.body_json).ok()?;
+        let class = self.class_of(&record);
+        let cancel = self.context.cancel.child_token();
+        let request = OwnedRequest::new(record, chat, tokens, cancel, None);
+        let request = Arc::new(request.inherited());
+        if let Err(present) = self.owned.put_if_absent(id, request.clone()) {
+            return Some(present);
+        }
+        links.events.record(EventKind::TakenOver, Some(id), String::new());
+        metrics::counter!("fl_requests_taken_over_total").increment(1);
+        let streams = self.clone();
+        let links = links.clone();
+        let carried = request.clone();
+        self.context.spawn(async move {
+            place(&streams, &links, &carried).await;
+            drive::pursue(streams, carried, class).await;
+        });
+        Some(request)
+    }
+
+    /// Keeps a record as its guardian, unless a later one is known.
+    pub fn guard(&self, handed: HandedRequest) {
+        let id = handed.record.id;
+        let newer =
+            self.guarded.get(id).is_some_and(|kept| kept.record.epoch > handed.record.epoch);
+        if !newer {
+            let since = std::time::Instant::now();
+            let guarded = Guarded { record: handed.record, tokens: handed.tokens, since };
+            self.guarded.put(id, guarded);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fl-node/src/streams/host.rs
@@ -0,0 +1,148 @@
+//! What peers ask of this node, answered by the services that keep the state.
+
+use super::{Links, Streams};
+use crate::context::{ServiceContext, StartError};
+use async_trait::async_trait;
+use fl_kernel::names;
+use fl_kernel::services::{
+    ClaimStatus, ConfigurationSource, Directory, EventLog, HandedRequest, Ledger, News, PeerHost,
+    Peers, Quarantine, TokenBatch, Verdict,
+};
+use fl_peer::PeerOptions;
+use fl_protocol::event::EventKind;
+use fl_protocol::platform::{Vm, VmKind};
+use fl_protocol::{Configuration, OwnerEpoch, RequestId, RequestRecord, TokenOffset, VmName};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Answers peers from the services of this node.
+pub struct NodeHost {
+    context: ServiceContext,
+    streams: Arc<Streams>,
+}
+
+/// Starts the protocol between nodes and registers the way to the peers.
+pub fn start_peers(context: &ServiceContext, streams: Arc<Streams>) -> Result<(), StartError> {
+    let settings = &context.settings;
+    let address = settings.listen.peer;
+    let listen = |error: std::io::Error| StartError::Listen(address.to_string(), error.to_string());
+    let listener = std::net::TcpListener::bind(address).map_err(listen)?;
+    let options = PeerOptions { listener, key: settings.fleet.key, bind_ip: address.ip() };
+    let host = Arc::new(NodeHost { context: context.clone(), streams });
+    let (link, _thread) = fl_peer::start(options, host, context.cancel.clone()).map_err(listen)?;
+    context.registry.register::<dyn Peers>(names::PEERS, Arc::new(link))?;
+    Ok(())
+}
+
+impl NodeHost {
+    fn find<T: ?Sized + Send + Sync + 'static>(&self, name: &str) -> Option<Arc<T>> {
+        self.context.registry.find::<T>(name).ok()
+    }
+
+    fn links(&self) -> Option<Arc<Links>> {
+        self.streams.links().ok().map(Arc::new)
+    }
+
+    fn record(&self, kind: EventKind, id: Option<RequestId>, detail: String) {
+        if let Some(events) = self.find::<dyn EventLog>(names::EVENT_LOG) {
+            events.record(kind, id, detail);
+        }
+    }
+}
+
+#[async_trait]
+impl PeerHost for NodeHost {
+    fn put_record(&self, record: RequestRecord) {
+        self.streams.guard(HandedRequest { record, tokens: Vec::new() });
+    }
+
+    fn drop_record(&self, id: RequestId, epoch: OwnerEpoch) {
+        let guarded = self.streams.guarded.get(id);
+        if guarded.is_some_and(|guarded| guarded.record.epoch <= epoch) {
+            self.streams.guarded.remove(id);
+        }
+    }
+
+    fn find_record(&self, id: RequestId) -> Option<RequestRecord> {
+        if let Some(request) = self.streams.owned(id) {
+            return Some(request.record());
+        }
+        self.streams.guarded.get(id).map(|guarded| guarded.record)
+    }
+
+    fn hand_over(&self, handed: HandedRequest) {
+        if &handed.record.owner != self.streams.own_vm() {
+            self.streams.guard(handed);
+            return;
+        }
+        if let Some(links) = self.links() {
+            let streams = self.streams.clone();
+            self.context.spawn(async move {
+                streams.carry_on(&links, handed);
+            });
+        }
+    }
+
+    fn take_over(
+        &self,
+        id: RequestId,
+        new_owner: VmName,
+        seen_epoch: OwnerEpoch,
+    ) -> Option<HandedRequest> {
+        super::guardian::take_guarded(&self.streams, id, new_owner, seen_epoch)
+    }
+
+    async fn read_tokens(
+        &self,
+        id: RequestId,
+        offset: TokenOffset,
+        wait: Duration,
+    ) -> Option<TokenBatch> {
+        let request = self.streams.owned(id)?;
+        let part = request.read_wait(offset, wait).await;
+        Some(TokenBatch { tokens: part.tokens, state: part.state })
+    }
+
+    fn claim_status(&self, id: RequestId) -> Option<ClaimStatus> {
+        self.find::<dyn Ledger>(names::LEDGER)?.claim_status(id)
+    }
+
+    fn configuration(&self, above_version: u64) -> Option<Configuration> {
+        let source = self.find::<dyn ConfigurationSource>(names::CONFIGURATION)?;
+        let current = source.current();
+        (current.version > above_version).then(|| current.as_ref().clone())
+    }
+
+    fn told(&self, news: Vec<News>) {
+        for item in news {
+            match item {
+                News::Leaving { vm, at_ms } => {
+                    if let Some(directory) = self.find::<dyn Directory>(names::DIRECTORY) {
+                        directory.mark_leaving(&vm, at_ms);
+                    }
+                }
+                News::Judged { fingerprint, quarantined } => {
+                    let verdict = if quarantined { Verdict::Quarantined } else { Verdict::Suspect };
+                    if let Some(quarantine) = self.find::<dyn Quarantine>(names::QUARANTINE) {
+                        quarantine.learn(fingerprint, verdict);
+                    }
+                }
+            }
+        }
+    }
+
+    fn vms(&self) -> Vec<Vm> {
+        let Some(directory) = self.find::<dyn Directory>(names::DIRECTORY) else {
+            return Vec::new();
+        };
+        let mut backends = directory.backends(VmKind::Runner);
+        backends.extend(directory.backends(VmKind::Application));
+        backends.into_iter().map(|backend| backend.vm).collect()
+    }
+
+    fn stranger_refused(&self, address: SocketAddr, reason: String) {
+        metrics::counter!("fl_strangers_refused_total").increment(1);
+        self.record(EventKind::StrangerRefused, None, format!("{address}: {reason}"));
+    }
+}
--- /dev/null
+++ b/crates/fl-node/src/streams/reader.rs
@@ -0,0 +1,213 @@
+//! Reads an answer for a caller, from wherever it is produced, across changes of the owner.
+
+use super::locate::{self, Found};
+use super::{Links, OwnedRequest, Streams};
+use fl_kernel::services::TokenState;
+use fl_protocol::{Member, OwnerEpoch, Problem, RequestId, RequestRecord, TokenOffset};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long one read waits before the caller is shown a sign of life.
+const READ_WAIT: Duration = Duration::from_secs(5);
+const LOCATE_TRIES: u32 = 20;
+const LOCATE_PAUSE: Duration = Duration::from_millis(250);
+
+/// What comes next of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReadStep {
+    /// Tokens, from an offset on, of the text of an epoch.
+    Tokens {
+        /// The offset of the first.
+        first_offset: TokenOffset,
+        /// The epoch their events are marked with.
+        text_epoch: OwnerEpoch,
+        /// Their texts.
+        tokens: Vec<String>,
+    },
+    /// The caller has to drop what it holds; tokens from offset 0 follow.
+    Restart,
+    /// Nothing new for a while.
+    Idle,
+    /// The answer is whole.
+    Whole,
+    /// The answer will not come; a problem body in JSON.
+    Failed(String),
+    /// This node goes away; the caller has to reconnect.
+    Moved,
+}
+
+enum Source {
+    Here(Arc<OwnedRequest>),
+    At(Box<Member>),
+}
+
+/// Reads one answer for one caller.
+pub struct AnswerReader {
+    streams: Arc<Streams>,
+    links: Arc<Links>,
+    id: RequestId,
+    source: Source,
+    record: RequestRecord,
+    position: TokenOffset,
+    text_epoch: OwnerEpoch,
+    state: TokenState,
+}
+
+impl AnswerReader {
+    /// Reads a request that this node owns from an offset of the text of an epoch.
+    pub fn local(
+        streams: Arc<Streams>,
+        links: Arc<Links>,
+        request: Arc<OwnedRequest>,
+        position: TokenOffset,
+        text_epoch: OwnerEpoch,
+    ) -> Self {
+        request.attach();
+        AnswerReader {
+            streams,
+            links,
+            id: request.id,
+            record: request.record(),
+            source: Source::Here(request),
+            position,
+            text_epoch,
+            state: TokenState::Running,
+        }
+    }
+
+    /// Finds a request and reads it from an offset of the text of an epoch.
+    pub async fn find(
+        streams: Arc<Streams>,
+        links: Arc<Links>,
+        id: RequestId,
+        position: TokenOffset,
+        text_epoch: OwnerEpoch,
+    ) -> Option<Self> {
+        match locate::find(&streams, &links, id).await? {
+            Found::Here(request) => {
+                Some(Self::local(streams, links, request, position, text_epoch))
+            }
+            Found::At(member, record) => Some(AnswerReader {
+                streams,
+                links,
+                id,
+                source: Source::At(member),
+                record: *record,
+                position,
+                text_epoch,
+                state: TokenState::Running,
+            }),
+        }
+    }
+
+    /// The record, as it was when the request was found.
+    pub fn record(&self) -> &RequestRecord {
+        &self.record
+    }
+
+    /// The request, if this node owns it.
+    pub fn owned(&self) -> Option<Arc<OwnedRequest>> {
+        match &self.source {
+            Source::Here(request) => Some(request.clone()),
+            Source::At(_) => None,
+        }
+    }
+
+    /// Takes the request over from another owner, for a caller that wants to end it.
+    pub async fn take_over(self) -> Option<Self> {
+        let request = locate::take_from_guardian(&self.streams, &self.links, &self.record).await?;
+        let (streams, links) = (self.streams.clone(), self.links.clone());
+        Some(Self::local(streams, links, request, self.position, self.text_epoch))
+    }
+
+    /// Gives what comes next.
+    pub async fn next(&mut self) -> ReadStep {
+        loop {
+            if let Some(step) = self.ended() {
+                return step;
+            }
+            if self.record.must_restart(self.text_epoch, self.position) {
+                self.position = 0;
+                self.text_epoch = self.record.text_epoch();
+                return ReadStep::Restart;
+            }
+            self.text_epoch = self.record.text_epoch();
+            match self.read().await {
+                Some(step) => return step,
+                None => {
+                    if !self.find_again().await {
+                        let problem = Problem::UnknownRequest(String::new());
+                        return ReadStep::Failed(super::to_json(&problem.body(Some(self.id))));
+                    }
+                }
+            }
+        }
+    }
+
+    fn ended(&self) -> Option<ReadStep> {
+        match &self.state {
+            TokenState::Running => None,
+            TokenState::Whole => Some(ReadStep::Whole),
+            TokenState::Failed(problem_json) => Some(ReadStep::Failed(problem_json.clone())),
+            TokenState::Moved => Some(ReadStep::Moved),
+        }
+    }
+
+    /// Reads once; `None` when the source is lost or its text changed.
+    async fn read(&mut self) -> Option<ReadStep> {
+        let (tokens, state) = match &self.source {
+            Source::Here(request) => {
+                let part = request.read_wait(self.position, READ_WAIT).await;
+                if part.text_epoch != self.text_epoch {
+                    self.record = request.record();
+                    return Some(ReadStep::Idle);
+                }
+                (part.tokens, part.state)
+            }
+            Source::At(member) => {
+                let reading =
+                    self.links.peers.read_tokens(member, self.id, self.position, READ_WAIT);
+                let batch = reading.await.ok().flatten()?;
+                if batch.state == TokenState::Moved {
+                    return None;
+                }
+                (batch.tokens, batch.state)
+            }
+        };
+        self.state = state;
+        if tokens.is_empty() {
+            return Some(self.ended().unwrap_or(ReadStep::Idle));
+        }
+        let first_offset = self.position;
+        self.position += tokens.len() as TokenOffset;
+        Some(ReadStep::Tokens { first_offset, text_epoch: self.text_epoch, tokens })
+    }
+
+    async fn find_again(&mut self) -> bool {
+        for _ in 0..LOCATE_TRIES {
+            match locate::find(&self.streams, &self.links, self.id).await {
+                Some(Found::Here(request)) => {
+                    request.attach();
+                    self.record = request.record();
+                    self.source = Source::Here(request);
+                    return true;
+                }
+                Some(Found::At(member, record)) => {
+                    self.record = *record;
+                    self.source = Source::At(member);
+                    return true;
+                }
+                None => tokio::time::sleep(LOCATE_PAUSE).await,
+            }
+        }
+        false
+    }
+}
+
+impl Drop for AnswerReader {
+    fn drop(&mut self) {
+        if let Source::Here(request) = &self.source {
+            request.detach();
+        }
+    }
+}
--- /dev/null
+++ b/crates/fl-node/src/streams/reaper.rs
@@ -0,0 +1,55 @@
+//! Ends requests whose callers stay away, and forgets answers that nobody asks for any more.
+
+use super::{Guarded, Links, OwnedRequest, Streams, attempt, drive, guardian};
+use fl_kernel::services::TokenState;
+use fl_protocol::Problem;
+use fl_protocol::event::EventKind;
+use std::sync::Arc;
+use std::time::Duration;
+
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Runs until the node ends.
+pub async fn reap(streams: Arc<Streams>, links: Arc<Links>) {
+    let cancel = streams.context.cancel.clone();
+    let mut ticks = tokio::time::interval(PERIOD);
+    loop {
+        tokio::select! {
+            () = cancel.cancelled() => return,
+            _ = ticks.tick() => {}
+        }
+        let window = streams.context.settings.limits.resume_window;
+        for request in streams.owned.all() {
+            if request.is_running() && request.is_abandoned(window) {
+                abandon(&streams, &links, &request).await;
+            }
+        }
+        streams.owned.retain(|request| !request.is_expired(window));
+        let kept_for = window + streams.give_up_after();
+        streams.guarded.retain(|guarded: &Guarded| guarded.since.elapsed() <= kept_for);
+        metrics::gauge!("fl_requests_owned").set(streams.owned.len() as f64);
+        metrics::gauge!("fl_requests_guarded").set(streams.guarded.len() as f64);
+    }
+}
+
+/// Frees the slot of a request that nobody reads, unless another node carries it on.
+///
+/// A node that was paused finds its callers gone; the stream then belongs to the new owner.
+async fn abandon(streams: &Arc<Streams>, links: &Links, request: &OwnedRequest) {
+    let record = request.record();
+    if let Some(guardian) = guardian::find_member(links, &record.guardian) {
+        let answer = links.peers.find_record(&guardian, request.id).await;
+        let taken = matches!(answer, Ok(Some(other)) if other.epoch > record.epoch);
+        if taken {
+            request.end(TokenState::Moved);
+            request.cancel.cancel();
+            return;
+        }
+    }
+    if let Some(place) = request.place() {
+        attempt::cancel_in_background(streams, &place);
+    }
+    drive::fail(request, Problem::Cancelled);
+    request.cancel.cancel();
+    links.events.record(EventKind::Cancelled, Some(request.id), "caller stayed away".to_string());
+}
--- /dev/null
+++ b/crates/fl-node/src/streams/store.rs
@@ -0,0 +1,75 @@
+//! Requests by id, in vectors sorted for binary search.
+
+use fl_protocol::RequestId;
+use parking_lot::RwLock;
+
+/// A map from request ids to values.
+pub struct Store<T> {
+    entries: RwLock<Vec<(RequestId, T)>>,
+}
+
+impl<T> Default for Store<T> {
+    fn default() -> Self {
+        Store { entries: RwLock::new(Vec::new()) }
+    }
+}
+
+impl<T: Clone> Store<T> {
+    /// Gives a value.
+    pub fn get(&self, id: RequestId) -> Option<T> {
+        let entries = self.entries.read();
+        let index = entries.binary_search_by_key(&id, |entry| entry.0).ok()?;
+        entries.get(index).map(|entry| entry.1.clone())
+    }
+
+    /// Puts a value in place of an earlier one.
+    pub fn put(&self, id: RequestId, value: T) {
+        let mut entries = self.entries.write();
+        match entries.binary_search_by_key(&id, |entry| entry.0) {
+            Ok(index) => entries[index].1 = value,
+            Err(index) => entries.insert(index, (id, value)),
+        }
+    }
+
+    /// Puts a value unless there is one; gives the one that is there then.
+    pub fn put_if_absent(&self, id: RequestId, value: T) -> Result<(), T> {
+        let mut entries = self.entries.write();
+        match entries.binary_search_by_key(&id, |entry| entry.0) {
+            Ok(index) => Err(entries[index].1.clone()),
+            Err(index) => {
+                entries.insert(index, (id, value));
+                Ok(())
+            }
+        }
+    }
+
+    /// Changes a value in place and gives what the change gives.
+    pub fn change<R>(&self, id: RequestId, change: impl FnOnce(&mut T) -> R) -> Option<R> {
+        let mut entries = self.entries.write();
+        let index = entries.binary_search_by_key(&id, |entry| entry.0).ok()?;
+        Some(change(&mut entries[index].1))
+    }
+
+    /// Removes a value.
+    pub fn remove(&self, id: RequestId) -> Option<T> {
+        let mut entries = self.entries.write();
+        let index = entries.binary_search_by_key(&id, |entry| entry.0).ok()?;
+        Some(entries.remove(index).1)
+    }
+
+    /// Gives all values, by id.
+    pub fn all(&self) -> Vec<T> {
+        self.entries.read().iter().map(|entry| entry.1.clone()).collect()
+    }
+
+    /// Keeps the values that pass.
+    pub fn retain(&self, keep: impl Fn(&T) -> bool) {
+        self.entries.write().retain(|entry| keep(&entry.1));
+    }
+
+    /// Counts the values.
+    #[allow(clippy::len_without_is_empty)]
+    pub fn len(&self) -> usize {
+        self.entries.read().len()
+    }
+}
--- /dev/null
+++ b/crates/fl-peer/src/client.rs
@@ -0,0 +1,274 @@
+//! Calls to peers from any thread.
+
+use crate::codec;
+use crate::connections::Connections;
+use crate::peer_capnp::peer;
+use async_trait::async_trait;
+use fl_kernel::services::{ClaimStatus, HandedRequest, News, PeerError, Peers, TokenBatch};
+use fl_protocol::platform::Vm;
+use fl_protocol::{
+    Configuration, Member, OwnerEpoch, RequestId, RequestRecord, TokenOffset, VmName,
+};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// Work for the peer thread.
+pub type Job = Box<dyn FnOnce(Rc<Connections>) + Send>;
+
+type Answer<T> = Pin<Box<dyn Future<Output = Result<T, capnp::Error>>>>;
+type Call<T> = Arc<dyn Fn(peer::Client) -> Answer<T> + Send + Sync>;
+
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Asks peers; every call has a timeout and is tried again once on a new connection if the old one
+/// may have gone silent. All calls are idempotent.
+#[derive(Clone)]
+pub struct PeerLink {
+    jobs: mpsc::UnboundedSender<Job>,
+}
+
+impl PeerLink {
+    pub(crate) fn new(jobs: mpsc::UnboundedSender<Job>) -> Self {
+        PeerLink { jobs }
+    }
+
+    async fn call<T: Send + 'static>(
+        &self,
+        to: &Member,
+        timeout: Duration,
+        call: impl Fn(peer::Client) -> Answer<T> + Send + Sync + 'static,
+    ) -> Result<T, PeerError> {
+        let (tx, rx) = oneshot::channel();
+        let address = to.peer_address;
+        let name = to.vm.clone();
+        let call: Call<T> = Arc::new(call);
+        let job: Job = Box::new(move |connections| {
+            tokio::task::spawn_local(async move {
+                let result = call_twice(&connections, address, &name, timeout, call).await;
+                let _ = tx.send(result);
+            });
+        });
+        let stopped = || PeerError::Unreachable(to.vm.clone());
+        self.jobs.send(job).map_err(|_| stopped())?;
+        rx.await.map_err(|_| stopped())?
+    }
+}
+
+async fn call_twice<T>(
+    connections: &Rc<Connections>,
+    address: SocketAddr,
+    name: &str,
+    timeout: Duration,
+    call: Call<T>,
+) -> Result<T, PeerError> {
+    let lease = connections.get(address).await?;
+    let first = call_once(lease.client, name, timeout, &call).await;
+    if !matches!(first, Err(PeerError::TimedOut(_) | PeerError::Unreachable(_))) {
+        return first;
+    }
+    connections.discard(address, lease.generation);
+    if !lease.reused {
+        return first;
+    }
+    let lease = connections.get(address).await?;
+    let second = call_once(lease.client, name, timeout, &call).await;
+    if second.is_err() {
+        connections.discard(address, lease.generation);
+    }
+    second
+}
+
+async fn call_once<T>(
+    client: peer::Client,
+    name: &str,
+    timeout: Duration,
+    call: &Call<T>,
+) -> Result<T, PeerError> {
+    match tokio::time::timeout(timeout, call(client)).await {
+        Err(_) => Err(PeerError::TimedOut(name.to_string())),
+        Ok(Ok(answer)) => Ok(answer),
+        Ok(Err(error)) if error.kind == capnp::ErrorKind::Disconnected => {
+            Err(PeerError::Unreachable(name.to_string()))
+        }
+        Ok(Err(error)) => Err(PeerError::Failed(name.to_string(), error.to_string())),
+    }
+}
+
+#[async_trait]
+impl Peers for PeerLink {
+    async fn put_record(&self, to: &Member, record: &RequestRecord) -> Result<(), PeerError> {
+        let record = record.clone();
+        let call = move |client: peer::Client| -> Answer<()> {
+            let mut request = client.put_record_request();
+            codec::write_record(request.get().init_record(), &record);
+            Box::pin(async move { request.send().promise.await.map(|_| ()) })
+        };
+        self.call(to, CALL_TIMEOUT, call).await
+    }
+
+    async fn drop_record(
+        &self,
+        to: &Member,
+        id: RequestId,
+        epoch: OwnerEpoch,
+    ) -> Result<(), PeerError> {
+        let call = move |client: peer::Client| -> Answer<()> {
+            let mut request = client.drop_record_request();
+            codec::write_id(request.get().init_id(), id);
+            request.get().set_epoch(epoch);
+            Box::pin(async move { request.send().promise.await.map(|_| ()) })
+        };
+        self.call(to, CALL_TIMEOUT, call).await
+    }
+
+    async fn find_record(
+        &self,
+        to: &Member,
+        id: RequestId,
+    ) -> Result<Option<RequestRecord>, PeerError> {
+        let call = move |client: peer::Client| -> Answer<Option<RequestRecord>> {
+            let mut request = client.find_record_request();
+            codec::write_id(request.get().init_id(), id);
+            Box::pin(async move {
+                let response = request.send().promise.await?;
+                let results = response.get()?;
+                if !results.get_found() {
+                    return Ok(None);
+                }
+                codec::read_record(results.get_record()?).map(Some)
+            })
+        };
+        self.call(to, CALL_TIMEOUT, call).await
+    }
+
+    async fn hand_over(
+        &self,
+        to: &Member,
+        record: &RequestRecord,
+        tokens: &[String],
+    ) -> Result<(), PeerError> {
+        let handed = HandedRequest { record: record.clone(), tokens: tokens.to_vec() };
+        let call = move |client: peer::Client| -> Answer<()> {
+            let mut request = client.hand_over_request();
+            codec::write_handed(request.get().init_handed(), &handed);
+            Box::pin(async move { request.send().promise.await.map(|_| ()) })
+        };
+        self.call(to, CALL_TIMEOUT, call).await
+    }
+
+    async fn take_over(
+        &self,
+        from: &Member,
+        id: RequestId,
+        new_owner: &VmName,
+        seen_epoch: OwnerEpoch,
+    ) -> Result<Option<HandedRequest>, PeerError> {
+        let new_owner = new_owner.clone();
+        let call = move |client: peer::Client| -> Answer<Option<HandedRequest>> {
+            let mut request = client.take_over_request();
+            codec::write_id(request.get().init_id(), id);
+            request.get().set_new_owner(&new_owner);
+            request.get().set_seen_epoch(seen_epoch);
+            Box::pin(async move {
+                let response = request.send().promise.await?;
+                let results = response.get()?;
+                if !results.get_found() {
+                    return Ok(None);
+                }
+                codec::read_handed(results.get_handed()?).map(Some)
+            })
+        };
+        self.call(from, CALL_TIMEOUT, call).await
+    }
+
+    async fn read_tokens(
+        &self,
+        from: &Member,
+        id: RequestId,
+        offset: TokenOffset,
+        wait: Duration,
+    ) -> Result<Option<TokenBatch>, PeerError> {
+        let call = move |client: peer::Client| -> Answer<Option<TokenBatch>> {
+            let mut request = client.read_tokens_request();
+            codec::write_id(request.get().init_id(), id);
+            request.get().set_offset(offset);
+            request.get().set_wait_ms(wait.as_millis() as u64);
+            Box::pin(async move {
+                let response = request.send().promise.await?;
+                let results = response.get()?;
+                if !results.get_found() {
+                    return Ok(None);
+                }
+                codec::read_batch(results.get_batch()?).map(Some)
+            })
+        };
+        self.call(from, CALL_TIMEOUT + wait, call).await
+    }
+
+    async fn claim_status(
+        &self,
+        to: &Member,
+        id: RequestId,
+    ) -> Result<Option<ClaimStatus>, PeerError> {
+        let call = move |client: peer::Client| -> Answer<Option<ClaimStatus>> {
+            let mut request = client.claim_status_request();
+            codec::write_id(request.get().init_id(), id);
+            Box::pin(async move {
+                let response = request.send().promise.await?;
+                Ok(codec::read_status(response.get()?.get_status()?))
+            })
+        };
+        self.call(to, CALL_TIMEOUT, call).await
+    }
+
+    async fn fetch_configuration(
+        &self,
+        from: &Member,
+        above_version: u64,
+    ) -> Result<Option<Configuration>, PeerError> {
+        let call = move |client: peer::Client| -> Answer<Option<Configuration>> {
+            let mut request = client.fetch_configuration_request();
+            request.get().set_above_version(above_version);
+            Box::pin(async move {
+                let response = request.send().promise.await?;
+                let results = response.get()?;
+                if !results.get_found() {
+                    return Ok(None);
+                }
+                let body_json = results.get_body_json()?.to_str()?;
+                serde_json::from_str(body_json).map(Some).map_err(codec::unreadable)
+            })
+        };
+        self.call(from, CALL_TIMEOUT, call).await
+    }
+
+    async fn tell(&self, to: &Member, news: &[News]) -> Result<(), PeerError> {
+        let news = news.to_vec();
+        let call = move |client: peer::Client| -> Answer<()> {
+            let mut request = client.tell_request();
+            let mut list = request.get().init_news(news.len() as u32);
+            for (index, item) in news.iter().enumerate() {
+                codec::write_news(list.reborrow().get(index as u32), item);
+            }
+            Box::pin(async move { request.send().promise.await.map(|_| ()) })
+        };
+        self.call(to, CALL_TIMEOUT, call).await
+    }
+
+    async fn fetch_vms(&self, from: &Member) -> Result<Vec<Vm>, PeerError> {
+        let call = |client: peer::Client| -> Answer<Vec<Vm>> {
+            let request = client.fetch_vms_request();
+            Box::pin(async move {
+                let response = request.send().promise.await?;
+                let vms_json = response.get()?.get_vms_json()?.to_str()?;
+                serde_json::from_str(vms_json).map_err(codec::unreadable)
+            })
+        };
+        self.call(from, CALL_TIMEOUT, call).await
+    }
+}
--- /dev/null
+++ b/crates/fl-peer/src/server.rs
@@ -0,0 +1,133 @@
+//! What peers may ask of this node.
+
+use crate::codec;
+use crate::peer_capnp::peer;
+use capnp::{Error, capability::Rc};
+use fl_kernel::services::PeerHost;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Serves one connection.
+pub struct PeerServer {
+    pub host: Arc<dyn PeerHost>,
+}
+
+impl peer::Server for PeerServer {
+    async fn put_record(
+        self: Rc<Self>,
+        params: peer::PutRecordParams,
+        _results: peer::PutRecordResults,
+    ) -> Result<(), Error> {
+        let record = codec::read_record(params.get()?.get_record()?)?;
+        self.host.put_record(record);
+        Ok(())
+    }
+
+    async fn drop_record(
+        self: Rc<Self>,
+        params: peer::DropRecordParams,
+        _results: peer::DropRecordResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        self.host.drop_record(codec::read_id(params.get_id()?), params.get_epoch());
+        Ok(())
+    }
+
+    async fn find_record(
+        self: Rc<Self>,
+        params: peer::FindRecordParams,
+        mut results: peer::FindRecordResults,
+    ) -> Result<(), Error> {
+        let id = codec::read_id(params.get()?.get_id()?);
+        if let Some(record) = self.host.find_record(id) {
+            results.get().set_found(true);
+            codec::write_record(results.get().init_record(), &record);
+        }
+        Ok(())
+    }
+
+    async fn hand_over(
+        self: Rc<Self>,
+        params: peer::HandOverParams,
+        _results: peer::HandOverResults,
+    ) -> Result<(), Error> {
+        let handed = codec::read_handed(params.get()?.get_handed()?)?;
+        self.host.hand_over(handed);
+        Ok(())
+    }
+
+    async fn take_over(
+        self: Rc<Self>,
+        params: peer::TakeOverParams,
+        mut results: peer::TakeOverResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let id = codec::read_id(params.get_id()?);
+        let new_owner = params.get_new_owner()?.to_string()?;
+        if let Some(handed) = self.host.take_over(id, new_owner, params.get_seen_epoch()) {
+            results.get().set_found(true);
+            codec::write_handed(results.get().init_handed(), &handed);
+        }
+        Ok(())
+    }
+
+    async fn read_tokens(
+        self: Rc<Self>,
+        params: peer::ReadTokensParams,
+        mut results: peer::ReadTokensResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let id = codec::read_id(params.get_id()?);
+        let wait = Duration::from_millis(params.get_wait_ms());
+        let offset = params.get_offset();
+        if let Some(batch) = self.host.read_tokens(id, offset, wait).await {
+            results.get().set_found(true);
+            codec::write_batch(results.get().init_batch(), &batch);
+        }
+        Ok(())
+    }
+
+    async fn claim_status(
+        self: Rc<Self>,
+        params: peer::ClaimStatusParams,
+        mut results: peer::ClaimStatusResults,
+    ) -> Result<(), Error> {
+        let id = codec::read_id(params.get()?.get_id()?);
+        results.get().set_status(codec::write_status(self.host.claim_status(id)));
+        Ok(())
+    }
+
+    async fn fetch_configuration(
+        self: Rc<Self>,
+        params: peer::FetchConfigurationParams,
+        mut results: peer::FetchConfigurationResults,
+    ) -> Result<(), Error> {
+        let above_version = params.get()?.get_above_version();
+        if let Some(configuration) = self.host.configuration(above_version) {
+            let body_json = serde_json::to_string(&configuration).map_err(codec::unreadable)?;
+            results.get().set_found(true);
+            results.get().set_body_json(&body_json);
+        }
+        Ok(())
+    }
+
+    async fn tell(
+        self: Rc<Self>,
+        params: peer::TellParams,
+        _results: peer::TellResults,
+    ) -> Result<(), Error> {
+        let news = params.get()?.get_news()?.iter().map(codec::read_news);
+        self.host.told(news.collect::<Result<Vec<_>, _>>()?);
+        Ok(())
+    }
+
+    async fn fetch_vms(
+        self: Rc<Self>,
+        _params: peer::FetchVmsParams,
+        mut results: peer::FetchVmsResults,
+    ) -> Result<(), Error> {
+        let vms_json = serde_json::to_string(&self.host.vms()).map_err(codec::unreadable)?;
+        results.get().set_vms_json(&vms_json);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/fl-peer/src/thread.rs
@@ -0,0 +1,93 @@
+//! The thread on which all capnp-rpc objects live.
+
+use crate::client::{Job, PeerLink};
+use crate::connections::Connections;
+use crate::handshake::{self, FleetKey};
+use crate::peer_capnp::peer;
+use crate::server::PeerServer;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use fl_kernel::services::PeerHost;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+use tokio_util::compat::{TokioAsyncReadCompatExt as _, TokioAsyncWriteCompatExt as _};
+use tokio_util::sync::CancellationToken;
+
+/// How this node meets its peers.
+pub struct PeerOptions {
+    /// Where peers connect to.
+    pub listener: std::net::TcpListener,
+    /// The key that peers prove.
+    pub key: FleetKey,
+    /// The address outgoing connections come from.
+    pub bind_ip: IpAddr,
+}
+
+/// Starts the thread; it ends when `cancel` is cancelled.
+pub fn start(
+    options: PeerOptions,
+    host: Arc<dyn PeerHost>,
+    cancel: CancellationToken,
+) -> std::io::Result<(PeerLink, JoinHandle<()>)> {
+    let (tx, rx) = mpsc::unbounded_channel();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    options.listener.set_nonblocking(true)?;
+    let thread = std::thread::Builder::new().name("peer".to_string()).spawn(move || {
+        let local = LocalSet::new();
+        local.block_on(&runtime, async move {
+            let serve = serve(options, host, rx);
+            let _ = cancel.run_until_cancelled(serve).await;
+        });
+    })?;
+    Ok((PeerLink::new(tx), thread))
+}
+
+async fn serve(
+    options: PeerOptions,
+    host: Arc<dyn PeerHost>,
+    mut jobs: mpsc::UnboundedReceiver<Job>,
+) {
+    let Ok(listener) = TcpListener::from_std(options.listener) else { return };
+    let connections = Connections::new(options.key, options.bind_ip);
+    loop {
+        tokio::select! {
+            job = jobs.recv() => match job {
+                Some(job) => job(connections.clone()),
+                None => return,
+            },
+            accepted = listener.accept() => {
+                if let Ok((stream, address)) = accepted {
+                    let serving = serve_peer(stream, address, options.key, host.clone());
+                    tokio::task::spawn_local(serving);
+                }
+            }
+        }
+    }
+}
+
+async fn serve_peer(
+    mut stream: TcpStream,
+    address: SocketAddr,
+    key: FleetKey,
+    host: Arc<dyn PeerHost>,
+) {
+    if let Err(error) = handshake::accept(&mut stream, &key, rand::random()).await {
+        host.stranger_refused(address, error.to_string());
+        return;
+    }
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let (read, write) = stream.into_split();
+    let network = twoparty::VatNetwork::new(
+        futures::io::BufReader::new(read.compat()),
+        futures::io::BufWriter::new(write.compat_write()),
+        rpc_twoparty_capnp::Side::Server,
+        Default::default(),
+    );
+    let client: peer::Client = capnp_rpc::new_client(PeerServer { host });
+    let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
+}
--- a/crates/fl-platform/src/lib.rs
+++ b/crates/fl-platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every client speaks the published protocol of `fl_protocol::platform` or
 //! `fl_protocol::engine` and never repeats a call by itself; repeating is the caller's decision.
 
+pub mod engine;
 pub mod http;
 
 pub use http::{HttpClient, HttpError, Reuse};
--- a/crates/fl-protocol/src/lib.rs
+++ b/crates/fl-protocol/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod member;
 pub mod platform;
 pub mod problem;
+pub mod rendezvous;
 pub mod request;
 
 pub use configuration::{CallClass, Configuration, Model, PlainService, Priority, Workspace};
--- a/crates/fl-protocol/src/request.rs
+++ b/crates/fl-protocol/src/request.rs
@@ -29,6 +29,8 @@
     pub epoch: OwnerEpoch,
     /// The engine stream that produces the answer, once there is one.
     pub stream: Option<StreamPlace>,
+    /// Where the text was generated anew after it was lost, by epoch.
+    pub restarts: Vec<Restart>,
     /// When it was accepted.
     pub accepted_at_ms: UnixMs,
     /// When the first token is due at the latest.
@@ -49,3 +51,26 @@
     /// The answer's offset of the stream's first token; tokens before it came from an earlier try.
     pub base_offset: TokenOffset,
 }
+
+/// A place from which the text differs from what callers were sent before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Restart {
+    /// The epoch whose owner generated anew.
+    pub epoch: OwnerEpoch,
+    /// The first token that may differ.
+    pub from_offset: TokenOffset,
+}
+
+impl RequestRecord {
+    /// The epoch that events of the present text are marked with; 0 while nothing was restarted.
+    pub fn text_epoch(&self) -> OwnerEpoch {
+        self.restarts.last().map_or(0, |restart| restart.epoch)
+    }
+
+    /// Says whether a caller that holds `held_tokens` tokens of an earlier text must drop them.
+    pub fn must_restart(&self, held_epoch: OwnerEpoch, held_tokens: TokenOffset) -> bool {
+        self.restarts
+            .iter()
+            .any(|restart| restart.epoch > held_epoch && restart.from_offset < held_tokens)
+    }
+}
