Add the stand-ins of the platform and the backend servers

Cause: every part of the system is proved against stand-ins, and there were none. Engine, plain service, table service, object store, cloud with VM list, and weight store now speak the published protocols in real time on one address each, inside a test or as processes through the examples engine, service and platform. Each carries typed fault switches, set through its handle or by PUT /faults, and counts what it did.

--- /dev/null
+++ b/crates/fl-standins/examples/platform.rs
@@ -0,0 +1,61 @@
+//! Runs the stand-ins of the platform in one process: table service on the given port, object
+//! store, cloud with VM list, and weight store on the three ports after it.
+//!
+//! ```text
+//! cargo run -p fl-standins --example platform -- --address 127.0.0.1:7200
+//! ```
+
+use fl_standins::{Cloud, CloudOptions, Objects, Table, TableOptions, Weights, WeightsOptions};
+use gumdrop::Options;
+use std::error::Error;
+use std::net::SocketAddr;
+
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(required, no_short, help = "address of the table service, ip:port")]
+    address: Option<SocketAddr>,
+    #[options(no_short, help = "transactions with writes a second; 0 is no limit")]
+    writes_per_s: Option<u64>,
+    #[options(no_short, help = "reads a second; 0 is no limit")]
+    reads_per_s: Option<u64>,
+    #[options(no_short, help = "how long the VM list shows a change late")]
+    list_lag_ms: Option<u64>,
+    #[options(no_short, help = "how long a VM takes to start")]
+    start_ms: Option<u64>,
+    #[options(no_short, help = "bytes a second of the weight store; 0 is no limit")]
+    weights_bytes_per_s: Option<u64>,
+}
+
+fn nth_address(first: SocketAddr, index: u16) -> SocketAddr {
+    SocketAddr::new(first.ip(), first.port() + index)
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let args = Args::parse_args_default_or_exit();
+    let address = args.address.ok_or("--address: expected ip:port")?;
+    let defaults = TableOptions::default();
+    let table_options = TableOptions {
+        writes_per_s: args.writes_per_s.unwrap_or(defaults.writes_per_s),
+        reads_per_s: args.reads_per_s.unwrap_or(defaults.reads_per_s),
+    };
+    let cloud_options = CloudOptions {
+        list_lag_ms: args.list_lag_ms.unwrap_or_default(),
+        start_ms: args.start_ms.unwrap_or_default(),
+    };
+    let defaults = WeightsOptions::default();
+    let rate_bytes_per_s = args.weights_bytes_per_s.unwrap_or(defaults.rate_bytes_per_s);
+    let table = Table::start(address, table_options).await?;
+    let objects = Objects::start(nth_address(address, 1)).await?;
+    let cloud = Cloud::start(nth_address(address, 2), cloud_options).await?;
+    let weights_options = WeightsOptions { rate_bytes_per_s, ..defaults };
+    let weights = Weights::start(nth_address(address, 3), weights_options).await?;
+    println!("table service listening on {}", table.address());
+    println!("object store listening on {}", objects.address());
+    println!("cloud and VM list listening on {}", cloud.address());
+    println!("weight store listening on {}", weights.address());
+    table.ended().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/fl-standins/examples/service.rs
@@ -0,0 +1,37 @@
+//! Runs one stand-in plain service as a process.
+//!
+//! ```text
+//! cargo run -p fl-standins --example service -- --address 127.0.0.1:7101 --vm application-1
+//! ```
+
+use fl_standins::{PlainService, PlainServiceOptions};
+use gumdrop::Options;
+use std::error::Error;
+use std::net::SocketAddr;
+
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(required, no_short, help = "address to listen on, ip:port")]
+    address: Option<SocketAddr>,
+    #[options(no_short, help = "name of the VM")]
+    vm: Option<String>,
+    #[options(no_short, help = "calls run side by side, as the load report says")]
+    slots: Option<u32>,
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let args = Args::parse_args_default_or_exit();
+    let address = args.address.ok_or("--address: expected ip:port")?;
+    let defaults = PlainServiceOptions::default();
+    let options = PlainServiceOptions {
+        vm: args.vm.unwrap_or(defaults.vm),
+        slots: args.slots.unwrap_or(defaults.slots),
+    };
+    let service = PlainService::start(address, options).await?;
+    println!("service listening on {}", service.address());
+    service.ended().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/fl-standins/src/engine/api.rs
@@ -0,0 +1,241 @@
+//! The HTTP side of an engine.
+
+use super::stream::Stream;
+use super::{Engine, EngineCounters, EngineFaults, Fencing, sse};
+use crate::host::{Answers, ConnectionNumber};
+use crate::http_parts::*;
+use crate::plain_service::unix_ms;
+use fl_protocol::TokenOffset;
+use fl_protocol::engine::{EngineOrder, KvBlocks, StreamOrder};
+use futures::FutureExt as _;
+use futures::future::BoxFuture;
+use http::{Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt as _, StreamBody};
+use hyper::body::Incoming;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const STREAMS_PATH: &str = "/v1/streams/";
+const LOAD_PATH: &str = "/v1/load";
+const CACHE_EVENTS_PATH: &str = "/v1/cache-events";
+const STATE_PATH: &str = "/v1/state";
+const ORDERS_PATH: &str = "/v1/orders";
+const EXPORT_PATH: &str = "/v1/kv/export";
+const IMPORT_PATH: &str = "/v1/kv/import";
+
+impl Answers for Engine {
+    fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        connection: ConnectionNumber,
+    ) -> BoxFuture<'static, Reply> {
+        self.reply(request, connection).boxed()
+    }
+}
+
+impl Engine {
+    async fn reply(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        connection: ConnectionNumber,
+    ) -> Reply {
+        let counters = self.counted();
+        match control(request, &self.switches, &counters).await {
+            Control::Answered(reply) => reply,
+            Control::Set(faults) => {
+                self.set_faults(faults, Some(connection));
+                json(StatusCode::OK, &self.switches.get())
+            }
+            Control::None(request) => self.serve(request).await,
+        }
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Reply {
+        if self.switches.get().freeze {
+            std::future::pending::<()>().await;
+        }
+        let path = request.uri().path().to_string();
+        if let Some(id) = path.strip_prefix(STREAMS_PATH) {
+            return self.serve_stream(id, request).await;
+        }
+        match (request.method(), path.as_str()) {
+            (&Method::GET, LOAD_PATH) => json(StatusCode::OK, &self.load_published()),
+            (&Method::GET, CACHE_EVENTS_PATH) => self.cache_events(request.uri().query()),
+            (&Method::GET, STATE_PATH) => json(StatusCode::OK, &*self.state.lock()),
+            (&Method::POST, ORDERS_PATH) => match read_json(request).await? {
+                Ok(order) => self.obey(order).await,
+                Err(reply) => reply,
+            },
+            (&Method::POST, EXPORT_PATH) => match read_json(request).await? {
+                Ok(blocks) => self.export(blocks).await,
+                Err(reply) => reply,
+            },
+            (&Method::POST, IMPORT_PATH) => match read_json(request).await? {
+                Ok(blocks) => self.import(blocks).await,
+                Err(reply) => reply,
+            },
+            _ => not_found(),
+        }
+    }
+
+    async fn serve_stream(&self, id: &str, request: Request<Incoming>) -> Reply {
+        match *request.method() {
+            Method::POST => match read_json(request).await? {
+                Ok(order) => self.start_stream(id, &order).await,
+                Err(reply) => reply,
+            },
+            Method::GET => self.resume_stream(id, request.uri().query()).await,
+            Method::DELETE => self.cancel_stream(id),
+            _ => text(StatusCode::METHOD_NOT_ALLOWED, "use POST, GET or DELETE\n"),
+        }
+    }
+
+    async fn start_stream(&self, id: &str, order: &StreamOrder) -> Reply {
+        let faults = self.switches.get();
+        if faults.refuse_streams || self.state.lock().role != "serve" {
+            self.counters.lock().refused += 1;
+            return text(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no new streams; choose another engine\n",
+            );
+        }
+        if !self.has_model(&order.model) {
+            self.counters.lock().refused += 1;
+            return text(StatusCode::NOT_FOUND, "model not loaded; order it first\n");
+        }
+        let marker = faults.crash_on_marker.as_deref();
+        let crashes = marker.is_some_and(|marker| order.prompt.contains(marker));
+        let started = self.batch.lock().start(id.to_string(), order, crashes);
+        let Some(stream) = started else {
+            return text(StatusCode::CONFLICT, "stream id used before; choose a new one\n");
+        };
+        self.count_start(&faults);
+        self.advance();
+        self.changed.notify_one();
+        self.delay_first_byte(&faults).await;
+        Ok(sse_response(stream, order.continue_tokens))
+    }
+
+    fn count_start(&self, faults: &EngineFaults) {
+        let mut counters = self.counters.lock();
+        counters.started += 1;
+        counters.started_while_leaving += u64::from(faults.leaving_at_ms.is_some());
+        counters.last_start_ms = unix_ms();
+    }
+
+    async fn resume_stream(&self, id: &str, query: Option<&str>) -> Reply {
+        let from = query_value(query, "from").unwrap_or_default();
+        let Ok(from) = from.parse::<TokenOffset>() else {
+            return text(StatusCode::BAD_REQUEST, "from: expected a token offset\n");
+        };
+        let Some(stream) = self.batch.lock().find(id) else { return not_found() };
+        if from < stream.first {
+            let message = format!("this stream begins at token {}\n", stream.first);
+            return text(StatusCode::RANGE_NOT_SATISFIABLE, &message);
+        }
+        self.counters.lock().resumed += 1;
+        self.delay_first_byte(&self.switches.get()).await;
+        Ok(sse_response(stream, from))
+    }
+
+    fn cancel_stream(&self, id: &str) -> Reply {
+        if !self.batch.lock().cancel(id) {
+            return not_found();
+        }
+        self.counters.lock().cancelled += 1;
+        self.changed.notify_one();
+        text(StatusCode::OK, "")
+    }
+
+    async fn delay_first_byte(&self, faults: &EngineFaults) {
+        let jitter_ms = self.batch.lock().cache.draw_ms(faults.delay_first_byte_jitter_ms);
+        delay_ms(faults.delay_first_byte_ms + jitter_ms).await;
+    }
+
+    fn has_model(&self, model: &String) -> bool {
+        let state = self.state.lock();
+        state.models.is_empty() || state.models.binary_search(model).is_ok()
+    }
+
+    fn cache_events(&self, query: Option<&str>) -> Reply {
+        let after = query_value(query, "after").and_then(|after| after.parse().ok());
+        let batch = self.batch.lock();
+        let events = batch.cache.events_after(after.unwrap_or_default(), Instant::now());
+        drop(batch);
+        json(StatusCode::OK, &events)
+    }
+
+    /// Obeys an order unless its fencing number is stale and this engine checks it.
+    async fn obey(&self, mut order: EngineOrder) -> Reply {
+        if !self.admits(&order) {
+            self.counters.lock().stale_orders += 1;
+            return text(StatusCode::CONFLICT, "stale fencing number; read the lease again\n");
+        }
+        delay_ms(self.options.order_ms).await;
+        if !self.admits(&order) {
+            self.counters.lock().stale_orders += 1;
+            return text(StatusCode::CONFLICT, "overtaken by a later holder's order\n");
+        }
+        order.models.sort();
+        let mut state = self.state.lock();
+        state.models = order.models;
+        state.role = order.role;
+        self.counters.lock().orders += 1;
+        json(StatusCode::OK, &*state)
+    }
+
+    fn admits(&self, order: &EngineOrder) -> bool {
+        if self.options.fencing == Fencing::Ignore {
+            return true;
+        }
+        let mut state = self.state.lock();
+        if order.fencing < state.fencing {
+            return false;
+        }
+        state.fencing = order.fencing;
+        true
+    }
+
+    async fn export(&self, wanted: KvBlocks) -> Reply {
+        let blocks = self.batch.lock().cache.held(&wanted.blocks);
+        self.delay_transfer(blocks.len()).await;
+        json(StatusCode::OK, &KvBlocks { blocks })
+    }
+
+    async fn import(&self, brought: KvBlocks) -> Reply {
+        self.delay_transfer(brought.blocks.len()).await;
+        self.batch.lock().cache.store(&brought.blocks, Instant::now());
+        self.counters.lock().imported_blocks += brought.blocks.len() as u64;
+        json(StatusCode::OK, &brought)
+    }
+
+    async fn delay_transfer(&self, blocks: usize) {
+        let blocks_per_s = self.options.kv_blocks_per_s;
+        if blocks_per_s > 0 {
+            let takes = Duration::from_secs_f64(blocks as f64 / blocks_per_s as f64);
+            tokio::time::sleep(takes).await;
+        }
+    }
+
+    /// All counters, those of the batch included.
+    pub(super) fn counted(&self) -> EngineCounters {
+        let counters = *self.counters.lock();
+        let batch = self.batch.lock();
+        EngineCounters {
+            connections: self.connections.accepted(),
+            ended: batch.ended,
+            prefilled_tokens: batch.prefilled_tokens,
+            cached_tokens: batch.cached_tokens,
+            generated_tokens: batch.generated_tokens,
+            ..counters
+        }
+    }
+}
+
+fn sse_response(stream: Arc<Stream>, from: TokenOffset) -> Response<Body> {
+    let body = StreamBody::new(sse::events(stream, from)).boxed_unsync();
+    let mut response = Response::new(body);
+    let event_stream = header::HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(header::CONTENT_TYPE, event_stream);
+    response
+}
--- /dev/null
+++ b/crates/fl-standins/src/host.rs
@@ -0,0 +1,168 @@
+//! Accepts connections for a stand-in and ends or silences them on demand.
+
+use crate::http_parts::Reply;
+use crate::silence::SilenceableStream;
+use futures::future::BoxFuture;
+use http::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Pause after a failed accept, so that a lack of file descriptors does not spin.
+const ACCEPT_RETRY: Duration = Duration::from_millis(10);
+
+/// Counts the connections of one stand-in.
+pub(crate) type ConnectionNumber = u64;
+
+/// Answers requests; an error closes the connection without an answer.
+pub(crate) trait Answers: Send + Sync + 'static {
+    fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        connection: ConnectionNumber,
+    ) -> BoxFuture<'static, Reply>;
+}
+
+struct OpenConnection {
+    number: ConnectionNumber,
+    silent: Arc<AtomicBool>,
+}
+
+/// The open connections, sorted by number.
+#[derive(Default)]
+pub(crate) struct Connections {
+    state: Mutex<ConnectionsState>,
+}
+
+#[derive(Default)]
+struct ConnectionsState {
+    next: ConnectionNumber,
+    open: Vec<OpenConnection>,
+}
+
+impl Connections {
+    fn add(&self) -> (ConnectionNumber, Arc<AtomicBool>) {
+        let mut state = self.state.lock();
+        let number = state.next;
+        state.next += 1;
+        let silent = Arc::new(AtomicBool::new(false));
+        state.open.push(OpenConnection { number, silent: silent.clone() });
+        (number, silent)
+    }
+
+    fn remove(&self, number: ConnectionNumber) {
+        let mut state = self.state.lock();
+        if let Ok(index) = state.open.binary_search_by_key(&number, |open| open.number) {
+            state.open.remove(index);
+        }
+    }
+
+    /// Silences every open connection but the one that asks for it.
+    pub(crate) fn silence_all_but(&self, exempt: Option<ConnectionNumber>) {
+        for open in &self.state.lock().open {
+            if Some(open.number) != exempt {
+                open.silent.store(true, Ordering::Release);
+            }
+        }
+    }
+
+    /// Counts the connections that were ever accepted.
+    pub(crate) fn accepted(&self) -> u64 {
+        self.state.lock().next
+    }
+}
+
+/// One listening stand-in; dropping it ends the stand-in.
+pub(crate) struct Host {
+    address: SocketAddr,
+    cancel: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl Host {
+    /// Binds the address and answers on it until the host is stopped or dropped.
+    pub(crate) async fn start(address: SocketAddr, service: Arc<impl Answers>) -> io::Result<Host> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let cancel = CancellationToken::new();
+        let tasks = TaskTracker::new();
+        let connections = Arc::new(Connections::default());
+        tasks.spawn(serve(listener, service, connections, cancel.clone(), tasks.clone()));
+        Ok(Host { address, cancel, tasks })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener and all connections, and waits until that is done.
+    pub(crate) async fn stop(&self) {
+        self.cancel.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+
+    /// Waits until the stand-in was stopped.
+    pub(crate) async fn ended(&self) {
+        self.cancel.cancelled().await;
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.cancel.cancel();
+    }
+}
+
+/// Accepts connections until cancelled; the listener closes on return.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    service: Arc<impl Answers>,
+    connections: Arc<Connections>,
+    cancel: CancellationToken,
+    tasks: TaskTracker,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = cancel.cancelled() => return,
+        };
+        match accepted {
+            Ok((socket, _)) => {
+                let connection =
+                    serve_connection(socket, service.clone(), connections.clone(), cancel.clone());
+                tasks.spawn(connection);
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
+        }
+    }
+}
+
+async fn serve_connection(
+    socket: TcpStream,
+    service: Arc<impl Answers>,
+    connections: Arc<Connections>,
+    cancel: CancellationToken,
+) {
+    // Tokens are small writes that the caller waits for.
+    let _ = socket.set_nodelay(true);
+    let (number, silent) = connections.add();
+    let io = TokioIo::new(SilenceableStream::new(socket, silent));
+    let answer = service_fn(move |request| service.clone().answer(request, number));
+    let connection = http1::Builder::new().serve_connection(io, answer);
+    tokio::select! {
+        _ = connection => {}
+        () = cancel.cancelled() => {}
+    }
+    connections.remove(number);
+}
--- a/crates/fl-standins/src/lib.rs
+++ b/crates/fl-standins/src/lib.rs
@@ -1,1 +1,29 @@
 //! Small stand-ins for the platform's services and the backend servers.
+//!
+//! Each speaks the protocol that `fl-protocol` publishes, in real time, on one socket address, and
+//! carries switches for the faults that the real one shows. They run inside a test or, through the
+//! examples of this package, as processes of their own. They are no simulator.
+//!
+//! Every stand-in also serves `GET /faults`, `PUT /faults` and `GET /counters`, which work while
+//! the faults are on.
+
+pub mod cloud;
+pub mod engine;
+pub mod faults;
+mod host;
+mod http_parts;
+pub mod objects;
+pub mod plain_service;
+mod silence;
+pub mod table;
+pub mod weights;
+
+pub use cloud::{Cloud, CloudCounters, CloudFaults, CloudHandle, CloudOptions};
+pub use engine::{Engine, EngineCounters, EngineFaults, EngineHandle, EngineOptions, Fencing};
+pub use faults::Outage;
+pub use objects::{Objects, ObjectsCounters, ObjectsFaults, ObjectsHandle};
+pub use plain_service::{
+    PlainService, PlainServiceFaults, PlainServiceHandle, PlainServiceOptions, Run,
+};
+pub use table::{Table, TableCounters, TableFaults, TableHandle, TableOptions};
+pub use weights::{Weights, WeightsFaults, WeightsHandle, WeightsOptions};
--- /dev/null
+++ b/crates/fl-standins/src/objects.rs
@@ -0,0 +1,171 @@
+//! The object store: immutable or rewritten bodies by name.
+
+use crate::faults::{Outage, Switches, take_one};
+use crate::host::{Answers, ConnectionNumber, Host};
+use crate::http_parts::*;
+use bytes::Bytes;
+use futures::FutureExt as _;
+use futures::future::BoxFuture;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const OBJECTS_PATH: &str = "/v1/objects/";
+
+/// Faults of the object store.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ObjectsFaults {
+    /// How it is out.
+    pub outage: Outage,
+    /// Delay of each answer, in milliseconds.
+    pub slow_ms: u64,
+    /// Writes to come whose answer is lost after the effect.
+    pub lose_answers: u64,
+}
+
+/// What the object store counted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObjectsCounters {
+    /// Objects read.
+    pub reads: u64,
+    /// Objects written.
+    pub writes: u64,
+}
+
+struct Object {
+    name: String,
+    body: Bytes,
+}
+
+#[derive(Default)]
+struct Store {
+    objects: Vec<Object>,
+    counters: ObjectsCounters,
+}
+
+/// The stand-in object store.
+pub struct Objects {
+    switches: Switches<ObjectsFaults>,
+    store: Mutex<Store>,
+}
+
+/// A running object store; dropping it ends it.
+pub struct ObjectsHandle {
+    host: Host,
+    objects: Arc<Objects>,
+}
+
+impl Objects {
+    /// Starts an empty store; port 0 chooses a free one.
+    pub async fn start(address: SocketAddr) -> io::Result<ObjectsHandle> {
+        let objects = Arc::new(Objects { switches: Switches::default(), store: Mutex::default() });
+        let host = Host::start(address, objects.clone()).await?;
+        Ok(ObjectsHandle { host, objects })
+    }
+
+    async fn reply(self: Arc<Self>, request: Request<Incoming>) -> Reply {
+        let counters = self.store.lock().counters;
+        match control(request, &self.switches, &counters).await {
+            Control::Answered(reply) => reply,
+            Control::Set(faults) => {
+                self.switches.set(faults);
+                json(StatusCode::OK, &self.switches.get())
+            }
+            Control::None(request) => self.serve(request).await,
+        }
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Reply {
+        let faults = self.switches.get();
+        if let Some(reply) = outage_reply(faults.outage).await {
+            return reply;
+        }
+        delay_ms(faults.slow_ms).await;
+        let Some(name) = request.uri().path().strip_prefix(OBJECTS_PATH).map(percent_decode) else {
+            return not_found();
+        };
+        match *request.method() {
+            Method::PUT => self.put(name, read_body(request).await?),
+            Method::GET => self.get(&name),
+            _ => text(StatusCode::METHOD_NOT_ALLOWED, "use GET or PUT\n"),
+        }
+    }
+
+    fn put(&self, name: String, body: Bytes) -> Reply {
+        self.store.lock().put(name, body);
+        if self.switches.change(|faults| take_one(&mut faults.lose_answers)) {
+            return Err(Closed);
+        }
+        text(StatusCode::OK, "")
+    }
+
+    fn get(&self, name: &str) -> Reply {
+        match self.store.lock().get(name) {
+            Some(body) => respond(StatusCode::OK, "application/octet-stream", body),
+            None => not_found(),
+        }
+    }
+}
+
+impl Store {
+    fn put(&mut self, name: String, body: Bytes) {
+        self.counters.writes += 1;
+        match self.objects.binary_search_by(|object| object.name.cmp(&name)) {
+            Ok(index) => self.objects[index].body = body,
+            Err(index) => self.objects.insert(index, Object { name, body }),
+        }
+    }
+
+    fn get(&mut self, name: &str) -> Option<Bytes> {
+        self.counters.reads += 1;
+        let found = self.objects.binary_search_by(|object| object.name.as_str().cmp(name));
+        found.ok().map(|index| self.objects[index].body.clone())
+    }
+}
+
+impl Answers for Objects {
+    fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        _connection: ConnectionNumber,
+    ) -> BoxFuture<'static, Reply> {
+        self.reply(request).boxed()
+    }
+}
+
+impl ObjectsHandle {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// The faults that are on.
+    pub fn faults(&self) -> ObjectsFaults {
+        self.objects.switches.get()
+    }
+
+    /// Sets the faults whole.
+    pub fn set_faults(&self, faults: ObjectsFaults) {
+        self.objects.switches.set(faults);
+    }
+
+    /// What it counted.
+    pub fn counters(&self) -> ObjectsCounters {
+        self.objects.store.lock().counters
+    }
+
+    /// Stops it and waits until its port is free.
+    pub async fn stop(&self) {
+        self.host.stop().await;
+    }
+
+    /// Waits until it was stopped.
+    pub async fn ended(&self) {
+        self.host.ended().await;
+    }
+}
