Add the directory of backend servers and the router

Cause: the node had no view of its backend servers and no way to choose one.

Change: the directory joins the VM list, the cloud's notices, the runners' own reports and peers' word. The list lags, so it adds a leaving server and never takes one back; an empty list is not believed. Notices are read at least once a second with a timeout of a second, and news go to peers at once, who tell on what is new to them. A node without the platform takes a peer's list. The router puts the policies round-robin, least-loaded and prefix behind one trait. Which runners a node watches is one pure function: all of up to 32, else two watchers a runner in its own data centre.

Proofs, seen to fail first: with the list allowed to take a leaving mark back, five cases of tests/servers.rs failed; with news told in the own data centre alone, news_reach_all of tests/watch.rs reached 42 of 340 nodes.

Not measured yet: the policies against each other.

--- /dev/null
+++ b/crates/fl-node/src/directory.rs
@@ -0,0 +1,122 @@
+//! The directory of backend servers: joins the platform's list and notices, the servers' own
+//! reports and peers' word.
+//!
+//! The decisions stand in `fl_routing::servers` and `fl_routing::watch`; see
+//! `docs/design/050-routing.md`.
+
+mod polling;
+mod telling;
+
+use crate::context::{ServiceContext, StartError};
+use fl_kernel::clock::unix_ms;
+use fl_kernel::names;
+use fl_kernel::services::{Backend, Directory, EventLog, Membership};
+use fl_protocol::engine::LoadReport;
+use fl_protocol::event::EventKind;
+use fl_protocol::platform::{ReclaimNotice, Vm, VmKind};
+use fl_protocol::{UnixMs, VmName};
+use fl_routing::servers::{Server, ServerTable};
+use parking_lot::Mutex;
+use std::sync::Arc;
+use tokio::sync::{mpsc, watch};
+
+/// News that wait to be told; beyond this peers learn from their own polls.
+const NEWS_LIMIT: usize = 1_024;
+
+/// The directory of one node.
+pub struct NodeDirectory {
+    context: ServiceContext,
+    table: Mutex<ServerTable>,
+    changes: watch::Sender<u64>,
+    news: mpsc::Sender<ReclaimNotice>,
+}
+
+/// Starts the directory: it polls until the node ends.
+pub fn start(context: &ServiceContext) -> Result<Arc<NodeDirectory>, StartError> {
+    let (news, told) = mpsc::channel(NEWS_LIMIT);
+    let directory = Arc::new(NodeDirectory {
+        context: context.clone(),
+        table: Mutex::new(ServerTable::default()),
+        changes: watch::Sender::new(0),
+        news,
+    });
+    let service: Arc<dyn Directory> = directory.clone();
+    context.registry.register(names::DIRECTORY, service)?;
+    polling::spawn(&directory);
+    telling::spawn(&directory, told);
+    Ok(directory)
+}
+
+impl NodeDirectory {
+    /// Takes a reading of the VM list, from the platform or a peer.
+    fn take_list(&self, vms: Vec<Vm>) {
+        if self.table.lock().take_list(vms, unix_ms()) {
+            self.changed();
+        }
+    }
+
+    fn take_notices(&self, notices: &[ReclaimNotice]) {
+        let new = self.table.lock().take_notices(notices);
+        for notice in new {
+            self.leaving_learned(notice);
+        }
+    }
+
+    fn take_report(&self, vm: &VmName, report: LoadReport) {
+        let leaving_at_ms = report.leaving_at_ms;
+        let is_new = self.table.lock().take_report(vm, report);
+        if let Some(leaving_at_ms) = leaving_at_ms.filter(|_| is_new) {
+            self.leaving_learned(ReclaimNotice { vm: vm.clone(), leaving_at_ms });
+        }
+    }
+
+    fn leaving_learned(&self, notice: ReclaimNotice) {
+        self.changed();
+        if let Ok(events) = self.context.registry.find::<dyn EventLog>(names::EVENT_LOG) {
+            let detail = format!("vm={} at_ms={}", notice.vm, notice.leaving_at_ms);
+            events.record(EventKind::VmLeaving, None, detail);
+        }
+        // A full queue is no loss: peers learn the same from their own polls.
+        let _ = self.news.try_send(notice);
+    }
+
+    fn changed(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    fn membership(&self) -> Option<Arc<dyn Membership>> {
+        self.context.registry.find::<dyn Membership>(names::MEMBERSHIP).ok()
+    }
+}
+
+impl Directory for NodeDirectory {
+    fn backends(&self, kind: VmKind) -> Vec<Backend> {
+        let servers = self.table.lock().servers(kind, unix_ms());
+        servers.into_iter().map(backend).collect()
+    }
+
+    fn mark_leaving(&self, vm: &VmName, leaving_at_ms: UnixMs) {
+        if self.table.lock().mark_leaving(vm, leaving_at_ms) {
+            self.leaving_learned(ReclaimNotice { vm: vm.clone(), leaving_at_ms });
+        }
+    }
+
+    fn mark_contact(&self, vm: &VmName, ok: bool) {
+        if self.table.lock().mark_contact(vm, ok, unix_ms()) {
+            self.changed();
+        }
+    }
+
+    fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+}
+
+fn backend(server: Server) -> Backend {
+    Backend {
+        vm: server.vm,
+        load: server.load,
+        leaving_at_ms: server.leaving_at_ms,
+        healthy: server.healthy,
+    }
+}
--- /dev/null
+++ b/crates/fl-node/src/directory/polling.rs
@@ -0,0 +1,151 @@
+//! Polls the platform and the watched runners, each on its own so that none delays another.
+
+use super::NodeDirectory;
+use fl_kernel::clock::unix_ms;
+use fl_kernel::names;
+use fl_kernel::services::{Directory, EventLog, Peers};
+use fl_platform::{EngineReports, VmListClient};
+use fl_protocol::event::EventKind;
+use fl_protocol::platform::{Vm, VmKind};
+use fl_protocol::{Member, VmName};
+use fl_routing::watch::watched_runners;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+/// The longest time between two readings of the notices, so that no new work goes to a VM three
+/// seconds after its notice even if one reading fails.
+const NOTICES_POLL_LIMIT: Duration = Duration::from_millis(1_000);
+/// The longest wait for one reading of notices or a report, for the same reason.
+const READING_TIMEOUT_LIMIT: Duration = Duration::from_millis(1_000);
+/// Time between two looks at which runners are to be watched.
+const WATCH_REVIEW: Duration = Duration::from_millis(250);
+
+/// Spawns the tasks that poll.
+pub fn spawn(directory: &Arc<NodeDirectory>) {
+    let context = &directory.context;
+    context.tasks.spawn(until_cancelled(context.cancel.clone(), poll_list(directory.clone())));
+    context.tasks.spawn(until_cancelled(context.cancel.clone(), poll_notices(directory.clone())));
+    context.tasks.spawn(until_cancelled(context.cancel.clone(), watch_runners(directory.clone())));
+}
+
+async fn until_cancelled(cancel: CancellationToken, work: impl Future<Output = ()>) {
+    tokio::select! {
+        () = work => {}
+        () = cancel.cancelled() => {}
+    }
+}
+
+fn platform_client(directory: &NodeDirectory) -> VmListClient {
+    let platform = &directory.context.settings.platform;
+    let timeout = platform.request_timeout.min(READING_TIMEOUT_LIMIT);
+    VmListClient::new(platform.vm_list, platform.cloud, timeout)
+}
+
+async fn poll_list(directory: Arc<NodeDirectory>) {
+    let client = platform_client(&directory);
+    let mut reachable = true;
+    loop {
+        let reading = client.vms().await;
+        if reading.is_ok() != reachable {
+            reachable = reading.is_ok();
+            record_platform(&directory, reachable);
+        }
+        match reading {
+            Ok(vms) => directory.take_list(vms),
+            Err(_) if directory.table.lock().vms().is_empty() => ask_peers(&directory).await,
+            Err(_) => {}
+        }
+        tokio::time::sleep(directory.context.settings.routing.vm_list_poll).await;
+    }
+}
+
+async fn poll_notices(directory: Arc<NodeDirectory>) {
+    let client = platform_client(&directory);
+    let pause = directory.context.settings.routing.vm_list_poll.min(NOTICES_POLL_LIMIT);
+    loop {
+        if let Ok(notices) = client.notices().await {
+            directory.take_notices(&notices);
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Takes the list of the first peer that has one, since the platform has not answered yet.
+async fn ask_peers(directory: &NodeDirectory) {
+    let Ok(peers) = directory.context.registry.find::<dyn Peers>(names::PEERS) else {
+        return;
+    };
+    for member in other_members(directory) {
+        match peers.fetch_vms(&member).await {
+            Ok(vms) if !vms.is_empty() => return directory.take_list(vms),
+            _ => {}
+        }
+    }
+}
+
+fn other_members(directory: &NodeDirectory) -> Vec<Member> {
+    let Some(membership) = directory.membership() else {
+        return Vec::new();
+    };
+    let own = membership.self_member().vm;
+    let mut members = membership.members();
+    members.retain(|member| member.vm != own && member.state.takes_new_work());
+    members
+}
+
+/// Keeps one task for each watched runner; the tasks of others are cancelled.
+async fn watch_runners(directory: Arc<NodeDirectory>) {
+    let mut watches: Vec<(VmName, String, CancellationToken)> = Vec::new();
+    loop {
+        let wanted = wanted_runners(&directory);
+        watches.retain(|(name, address, cancel)| {
+            let kept = wanted.iter().any(|vm| vm.name == *name && vm.address == *address);
+            if !kept {
+                cancel.cancel();
+            }
+            kept
+        });
+        for vm in wanted {
+            if !watches.iter().any(|(name, _, _)| *name == vm.name) {
+                let cancel = directory.context.cancel.child_token();
+                let work = poll_runner(directory.clone(), vm.clone());
+                directory.context.tasks.spawn(until_cancelled(cancel.clone(), work));
+                watches.push((vm.name, vm.address, cancel));
+            }
+        }
+        tokio::time::sleep(WATCH_REVIEW).await;
+    }
+}
+
+fn wanted_runners(directory: &NodeDirectory) -> Vec<Vm> {
+    let mut vms = directory.table.lock().vms().to_vec();
+    vms.retain(|vm| vm.kind == VmKind::Runner);
+    let Some(membership) = directory.membership() else {
+        return vms;
+    };
+    let names = watched_runners(&membership.self_member(), &membership.members(), &vms);
+    vms.retain(|vm| names.binary_search(&vm.name).is_ok());
+    vms
+}
+
+async fn poll_runner(directory: Arc<NodeDirectory>, vm: Vm) {
+    let settings = &directory.context.settings;
+    let reports = EngineReports::new(settings.platform.request_timeout.min(READING_TIMEOUT_LIMIT));
+    loop {
+        let reading = reports.load(&vm.address).await;
+        directory.mark_contact(&vm.name, reading.is_ok());
+        if let Ok(report) = reading {
+            directory.take_report(&vm.name, report);
+        }
+        tokio::time::sleep(settings.routing.load_poll).await;
+    }
+}
+
+fn record_platform(directory: &NodeDirectory, reachable: bool) {
+    if let Ok(events) = directory.context.registry.find::<dyn EventLog>(names::EVENT_LOG) {
+        let word = if reachable { "reachable" } else { "out of reach" };
+        let detail = format!("VM list {word} at_ms={}", unix_ms());
+        events.record(EventKind::PlatformChanged, None, detail);
+    }
+}
--- /dev/null
+++ b/crates/fl-node/src/directory/telling.rs
@@ -0,0 +1,66 @@
+//! Tells peers at once which VMs are leaving; what is new to a peer it tells on.
+
+use super::NodeDirectory;
+use fl_kernel::names;
+use fl_kernel::services::{Membership, News, Peers};
+use fl_protocol::Member;
+use fl_protocol::platform::ReclaimNotice;
+use fl_routing::watch::peers_to_tell;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// News told in one call at most.
+const BATCH: usize = 128;
+
+/// Spawns the task that tells.
+pub fn spawn(directory: &Arc<NodeDirectory>, mut told: mpsc::Receiver<ReclaimNotice>) {
+    let directory = directory.clone();
+    let cancel = directory.context.cancel.clone();
+    let tasks = directory.context.tasks.clone();
+    tasks.clone().spawn(async move {
+        loop {
+            let mut batch = Vec::new();
+            let received = tokio::select! {
+                received = told.recv_many(&mut batch, BATCH) => received,
+                () = cancel.cancelled() => return,
+            };
+            if received == 0 {
+                return;
+            }
+            tell(&directory, &batch);
+        }
+    });
+}
+
+fn tell(directory: &NodeDirectory, batch: &[ReclaimNotice]) {
+    let registry = &directory.context.registry;
+    let Ok(peers) = registry.find::<dyn Peers>(names::PEERS) else {
+        return;
+    };
+    let Some(membership) = directory.membership() else {
+        return;
+    };
+    for member in targets(membership.as_ref(), batch) {
+        let news: Vec<News> = batch.iter().map(news).collect();
+        let peers = peers.clone();
+        let cancel = directory.context.cancel.clone();
+        directory.context.tasks.spawn(async move {
+            tokio::select! {
+                // A peer that was not reached learns from its own polls.
+                _ = peers.tell(&member, &news) => {}
+                () = cancel.cancelled() => {}
+            }
+        });
+    }
+}
+
+fn targets(membership: &dyn Membership, batch: &[ReclaimNotice]) -> Vec<Member> {
+    let Some(first) = batch.first() else {
+        return Vec::new();
+    };
+    peers_to_tell(&membership.self_member(), &membership.members(), &first.vm)
+}
+
+fn news(notice: &ReclaimNotice) -> News {
+    News::Leaving { vm: notice.vm.clone(), at_ms: notice.leaving_at_ms }
+}
--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -4,5 +4,7 @@
 //! `docs/design/010-packages.md`.
 
 pub mod context;
+pub mod directory;
+pub mod routing;
 
 pub use context::{ServiceContext, StartError};
--- /dev/null
+++ b/crates/fl-node/src/routing.rs
@@ -0,0 +1,154 @@
+//! The router: joins the directory, the beliefs about caches and the node's own sent work, and
+//! lets the policy of the settings choose.
+//!
+//! The policies stand in `fl_routing::policy`; see `docs/design/050-routing.md`.
+
+mod cache_feed;
+
+use crate::context::{ServiceContext, StartError};
+use fl_kernel::clock::unix_ms;
+use fl_kernel::names;
+use fl_kernel::services::{Backend, Directory, Route, RouteQuery, Router};
+use fl_protocol::platform::VmKind;
+use fl_protocol::{ModelName, Problem, RequestId, VmName};
+use fl_routing::belief::Beliefs;
+use fl_routing::estimate::{Load, duration_ms};
+use fl_routing::policy::{Call, Candidate, Choice, Policy, policy_of};
+use fl_routing::rendezvous::name_hash;
+use fl_routing::sent::SentWork;
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// When to come back if no runner can take the call.
+const NO_BACKEND_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The router of one node.
+pub struct NodeRouter {
+    context: ServiceContext,
+    state: Mutex<State>,
+}
+
+struct State {
+    policy: Box<dyn Policy>,
+    random: StdRng,
+    beliefs: Beliefs,
+    sent: SentWork,
+    /// Models by runner, sorted by runner.
+    models: Vec<(VmName, Vec<ModelName>)>,
+}
+
+/// Starts the router and the reading of cache events.
+pub fn start(context: &ServiceContext) -> Result<Arc<NodeRouter>, StartError> {
+    let state = State {
+        policy: policy_of(&context.settings.routing.policy),
+        random: StdRng::seed_from_u64(name_hash(&context.settings.node.vm)),
+        beliefs: Beliefs::default(),
+        sent: SentWork::default(),
+        models: Vec::new(),
+    };
+    let router = Arc::new(NodeRouter { context: context.clone(), state: Mutex::new(state) });
+    let service: Arc<dyn Router> = router.clone();
+    context.registry.register(names::ROUTER, service)?;
+    cache_feed::spawn(&router);
+    Ok(router)
+}
+
+impl NodeRouter {
+    fn runners(&self) -> Vec<Backend> {
+        let directory = self.context.registry.find::<dyn Directory>(names::DIRECTORY);
+        directory.map(|directory| directory.backends(VmKind::Runner)).unwrap_or_default()
+    }
+
+    fn take_models(&self, runner: &VmName, models: Vec<ModelName>) {
+        let mut state = self.state.lock();
+        match state.models.binary_search_by(|(name, _)| name.cmp(runner)) {
+            Ok(index) => state.models[index].1 = models,
+            Err(index) => state.models.insert(index, (runner.clone(), models)),
+        }
+    }
+}
+
+impl Router for NodeRouter {
+    fn choose(&self, query: &RouteQuery) -> Result<Route, Problem> {
+        let no_backend = Problem::NoBackend { retry_after: NO_BACKEND_RETRY_AFTER };
+        let now_ms = unix_ms();
+        let mut state = self.state.lock();
+        let runners = state.eligible(self.runners(), query);
+        let own_data_center = &self.context.settings.node.data_center;
+        let candidates: Vec<Candidate> =
+            runners.iter().map(|runner| state.candidate(runner, own_data_center)).collect();
+        let choice = state.choose(query, &candidates).ok_or(no_backend)?;
+        let runner = &runners[choice.index].vm;
+        state.sent.sent(query.id, &runner.name, choice.prefill_tokens, now_ms);
+        state.beliefs.of_mut(&runner.name).expect(&query.blocks);
+        Ok(Route {
+            runner: runner.name.clone(),
+            address: runner.address.clone(),
+            expected_prefill_tokens: choice.prefill_tokens,
+            expected_first_token: duration_ms(choice.first_token_ms),
+        })
+    }
+
+    fn first_token(&self, id: RequestId, _waited: Duration) {
+        self.state.lock().sent.first_token(id, unix_ms());
+    }
+
+    fn ended(&self, id: RequestId, runner: &VmName) {
+        self.state.lock().sent.ended(id, runner, unix_ms());
+    }
+}
+
+impl State {
+    /// Keeps the runners that may take the call: staying, healthy, not excluded, with its model.
+    fn eligible(&self, mut runners: Vec<Backend>, query: &RouteQuery) -> Vec<Backend> {
+        runners.retain(|runner| {
+            runner.leaving_at_ms.is_none()
+                && !runner.vm.leaving
+                && runner.healthy
+                && query.excluded.binary_search(&runner.vm.name).is_err()
+                && self.may_hold(&runner.vm.name, &query.model)
+        });
+        if query.alone {
+            runners.retain(|runner| self.load(runner).streams == 0);
+        }
+        runners
+    }
+
+    /// Says whether a runner may hold a model; one whose models are not known yet may.
+    fn may_hold(&self, runner: &VmName, model: &str) -> bool {
+        let Ok(index) = self.models.binary_search_by(|(name, _)| name.cmp(runner)) else {
+            return true;
+        };
+        let models = &self.models[index].1;
+        models.binary_search_by(|held| held.as_str().cmp(model)).is_ok()
+    }
+
+    fn load(&self, runner: &Backend) -> Load {
+        let correction = self.sent.correction(&runner.vm.name, runner.load.as_ref());
+        Load::corrected(runner.load.as_ref(), correction, self.sent.mean_stream_ms())
+    }
+
+    fn candidate(&self, runner: &Backend, own_data_center: &str) -> Candidate {
+        Candidate {
+            name: runner.vm.name.clone(),
+            name_hash: name_hash(&runner.vm.name),
+            load: self.load(runner),
+            near: runner.vm.data_center == own_data_center,
+            price_millicents_per_h: 0,
+        }
+    }
+
+    fn choose(&mut self, query: &RouteQuery, candidates: &[Candidate]) -> Option<Choice> {
+        let call = Call {
+            blocks: query.blocks.clone(),
+            prompt_tokens: query.prompt_tokens,
+            priority: query.class.priority,
+            target_ms: query.class.first_token_target_ms,
+            deadline_ms: query.class.deadline_ms,
+        };
+        self.policy.choose(&call, candidates, &self.beliefs, &mut self.random)
+    }
+}
--- /dev/null
+++ b/crates/fl-node/src/routing/cache_feed.rs
@@ -0,0 +1,70 @@
+//! Reads the cache events and the loaded models of runners.
+
+use super::NodeRouter;
+use fl_kernel::services::Backend;
+use fl_platform::EngineReports;
+use futures::StreamExt;
+use futures::stream;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two readings of every runner's events.
+const FEED_PAUSE: Duration = Duration::from_millis(500);
+/// Runners read at the same time.
+const READ_AT_ONCE: usize = 16;
+
+/// Spawns the task that reads.
+pub fn spawn(router: &Arc<NodeRouter>) {
+    let router = router.clone();
+    let cancel = router.context.cancel.clone();
+    let tasks = router.context.tasks.clone();
+    tasks.spawn(async move {
+        tokio::select! {
+            () = read_forever(&router) => {}
+            () = cancel.cancelled() => {}
+        }
+    });
+}
+
+async fn read_forever(router: &NodeRouter) {
+    let reports = EngineReports::new(router.context.settings.platform.request_timeout);
+    loop {
+        let runners = router.runners();
+        router.state.lock().keep(&runners);
+        let reading = |runner: Backend| read_runner(router, &reports, runner);
+        let healthy = runners.into_iter().filter(|runner| runner.healthy);
+        stream::iter(healthy.map(reading)).buffer_unordered(READ_AT_ONCE).collect::<()>().await;
+        tokio::time::sleep(FEED_PAUSE).await;
+    }
+}
+
+async fn read_runner(router: &NodeRouter, reports: &EngineReports, runner: Backend) {
+    let name = &runner.vm.name;
+    if let Ok(state) = reports.state(&runner.vm.address).await {
+        router.take_models(name, state.models);
+    }
+    let (after, resync) = {
+        let mut state = router.state.lock();
+        let belief = state.beliefs.of_mut(name);
+        (belief.next_after(), belief.wants_resync())
+    };
+    if let Ok(read) = reports.cache_events(&runner.vm.address, after).await {
+        let mut state = router.state.lock();
+        let belief = state.beliefs.of_mut(name);
+        if resync {
+            belief.resync(read.events);
+        } else {
+            belief.take_events(read.events);
+        }
+    }
+}
+
+impl super::State {
+    fn keep(&mut self, runners: &[Backend]) {
+        let listed = |name: &str| {
+            runners.binary_search_by(|runner| runner.vm.name.as_str().cmp(name)).is_ok()
+        };
+        self.beliefs.keep(listed);
+        self.models.retain(|(name, _)| listed(name));
+    }
+}
--- a/crates/fl-platform/src/lib.rs
+++ b/crates/fl-platform/src/lib.rs
@@ -3,6 +3,10 @@
 //! Every client speaks the published protocol of `fl_protocol::platform` or
 //! `fl_protocol::engine` and never repeats a call by itself; repeating is the caller's decision.
 
+pub mod engine_reports;
 pub mod http;
+pub mod vm_list;
 
+pub use engine_reports::EngineReports;
 pub use http::{HttpClient, HttpError, Reuse};
+pub use vm_list::VmListClient;
--- a/crates/fl-routing/src/lib.rs
+++ b/crates/fl-routing/src/lib.rs
@@ -1,1 +1,9 @@
 //! Routing decisions as pure functions: policies, prefix homes, load estimates.
+
+pub mod belief;
+pub mod estimate;
+pub mod policy;
+pub mod rendezvous;
+pub mod sent;
+pub mod servers;
+pub mod watch;
--- /dev/null
+++ b/crates/fl-routing/src/policy.rs
@@ -0,0 +1,89 @@
+//! The routing policies, all behind one trait so that they can be measured against each other.
+
+pub mod least_loaded;
+pub mod prefix;
+pub mod round_robin;
+
+pub use least_loaded::LeastLoaded;
+pub use prefix::{HomeRule, Prefix, Switches};
+pub use round_robin::RoundRobin;
+
+use crate::belief::Beliefs;
+use crate::estimate::Load;
+use fl_protocol::engine::BLOCK_TOKENS;
+use fl_protocol::{BlockHash, Priority, VmName};
+use rand::Rng;
+
+/// A runner that may be chosen.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// Its VM.
+    pub name: VmName,
+    /// The hash of its name, by [`crate::rendezvous::name_hash`].
+    pub name_hash: u64,
+    /// Its load now.
+    pub load: Load,
+    /// Whether it stands in this node's data centre.
+    pub near: bool,
+    /// Price of its VM, in thousandths of a cent an hour; 0 when unknown.
+    pub price_millicents_per_h: u64,
+}
+
+/// A call that needs a runner.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Call {
+    /// The chained hashes of the prompt's blocks.
+    pub blocks: Vec<BlockHash>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// The class's priority.
+    pub priority: Priority,
+    /// Target for the time to the first token, in milliseconds.
+    pub target_ms: u64,
+    /// Latest time to the first token, in milliseconds.
+    pub deadline_ms: u64,
+}
+
+/// A policy's choice.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Choice {
+    /// The index among the candidates.
+    pub index: usize,
+    /// Prompt tokens the runner is expected to compute.
+    pub prefill_tokens: u64,
+    /// Expected time to the first token, in milliseconds.
+    pub first_token_ms: f64,
+}
+
+/// Chooses a runner for a call.
+pub trait Policy: Send {
+    /// Chooses among candidates that are sorted by name; `None` only if there are none.
+    fn choose(
+        &mut self,
+        call: &Call,
+        candidates: &[Candidate],
+        beliefs: &Beliefs,
+        random: &mut dyn Rng,
+    ) -> Option<Choice>;
+}
+
+/// Makes a policy by its name in the settings; unknown names give `prefix`.
+pub fn policy_of(name: &str) -> Box<dyn Policy> {
+    match name {
+        "round-robin" => Box::new(RoundRobin::default()),
+        "least-loaded" => Box::new(LeastLoaded),
+        _ => Box::new(Prefix::new(Switches::default())),
+    }
+}
+
+/// Estimates a call at one candidate.
+pub fn estimate(call: &Call, candidates: &[Candidate], index: usize, beliefs: &Beliefs) -> Choice {
+    let candidate = &candidates[index];
+    let cached_tokens = beliefs.of(&candidate.name).map_or(0, |belief| {
+        let blocks = belief.cached_blocks(&call.blocks);
+        ((blocks * BLOCK_TOKENS) as f64 * belief.confidence()) as u64
+    });
+    let prefill_tokens = call.prompt_tokens.saturating_sub(cached_tokens);
+    let first_token_ms = candidate.load.queue_ms() + candidate.load.prefill_ms(prefill_tokens);
+    Choice { index, prefill_tokens, first_token_ms }
+}
--- /dev/null
+++ b/crates/fl-routing/src/policy/least_loaded.rs
@@ -0,0 +1,35 @@
+//! Takes the runner with the least load; a baseline for measurements.
+
+use super::{Call, Candidate, Choice, Policy, estimate};
+use crate::belief::Beliefs;
+use rand::{Rng, RngExt};
+
+/// Takes the runner with the shortest queue, then the fewest streams for its slots.
+#[derive(Debug, Clone, Default)]
+pub struct LeastLoaded;
+
+impl Policy for LeastLoaded {
+    fn choose(
+        &mut self,
+        call: &Call,
+        candidates: &[Candidate],
+        beliefs: &Beliefs,
+        random: &mut dyn Rng,
+    ) -> Option<Choice> {
+        if candidates.is_empty() {
+            return None;
+        }
+        let first = random.random_range(0..candidates.len());
+        let in_random_order = (first..candidates.len()).chain(0..first);
+        let index = in_random_order.min_by(|left, right| {
+            key(&candidates[*left])
+                .partial_cmp(&key(&candidates[*right]))
+                .unwrap_or(std::cmp::Ordering::Equal)
+        })?;
+        Some(estimate(call, candidates, index, beliefs))
+    }
+}
+
+fn key(candidate: &Candidate) -> (f64, f64) {
+    (candidate.load.queue_ms(), candidate.load.fill())
+}
--- /dev/null
+++ b/crates/fl-routing/src/policy/prefix.rs
@@ -0,0 +1,166 @@
+//! Takes a runner that has the prompt's prefix in its cache, as far as its load allows.
+//!
+//! See `docs/design/050-routing.md`.
+
+mod home;
+
+pub use home::HomeRule;
+
+use super::{Call, Candidate, Choice, Policy, estimate};
+use crate::belief::Beliefs;
+use crate::rendezvous::top;
+use fl_protocol::Priority;
+use home::Popularity;
+use rand::{Rng, RngExt};
+
+/// Runners with the greatest ranks that are considered as homes.
+const HOMES: usize = 3;
+/// Runners considered at random besides, so that a stale belief cannot hide an idle one.
+const RANDOM_PICKS: usize = 2;
+/// A home that holds more than this many times the mean load takes no counter call.
+const LOAD_BOUND: f64 = 1.25;
+/// Share of its target a deferrable call spends on waiting for its prefix's home.
+const SLACK_SHARE: f64 = 0.5;
+/// What a runner in another data centre costs extra, in milliseconds.
+const FAR_MS: f64 = 2.0;
+
+/// The ideas of the policy, each of which can be switched off to measure it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Switches {
+    /// Which block's hash picks the homes.
+    pub home: HomeRule,
+    /// Considers only homes whose load stays within a bound of the mean.
+    pub bounded_load: bool,
+    /// Considers two runners at random besides.
+    pub random_picks: bool,
+    /// Considers the runner believed to hold most of the prefix, wherever it ranks.
+    pub holders: bool,
+    /// Lets deferrable calls wait for the cached prefix.
+    pub wait_for_home: bool,
+    /// Prefers cheap runners where the target holds.
+    pub price: bool,
+    /// Prefers the own data centre.
+    pub near: bool,
+}
+
+impl Default for Switches {
+    fn default() -> Self {
+        Switches {
+            home: HomeRule::FirstLight,
+            bounded_load: true,
+            random_picks: true,
+            holders: true,
+            wait_for_home: true,
+            price: true,
+            near: true,
+        }
+    }
+}
+
+/// The prefix policy.
+#[derive(Debug, Clone)]
+pub struct Prefix {
+    switches: Switches,
+    popularity: Popularity,
+}
+
+impl Prefix {
+    /// Makes the policy with some of its ideas switched on.
+    pub fn new(switches: Switches) -> Self {
+        Prefix { switches, popularity: Popularity::default() }
+    }
+
+    fn shortlist(
+        &self,
+        call: &Call,
+        key: u64,
+        candidates: &[Candidate],
+        beliefs: &Beliefs,
+        random: &mut dyn Rng,
+    ) -> Vec<usize> {
+        let hashes: Vec<u64> = candidates.iter().map(|candidate| candidate.name_hash).collect();
+        let mut picks = top(key, &hashes, HOMES);
+        if self.switches.bounded_load && call.priority == Priority::Counter {
+            let bound = load_bound(candidates);
+            picks.retain(|index| candidates[*index].load.fill() <= bound);
+        }
+        if self.switches.holders {
+            picks.extend(best_holder(call, candidates, beliefs));
+        }
+        if self.switches.random_picks || picks.is_empty() {
+            picks.extend((0..RANDOM_PICKS).map(|_| random.random_range(0..candidates.len())));
+        }
+        picks.sort_unstable();
+        picks.dedup();
+        picks
+    }
+
+    fn cost_ms(&self, choice: &Choice, candidate: &Candidate) -> f64 {
+        let far_ms = if self.switches.near && !candidate.near { FAR_MS } else { 0.0 };
+        choice.first_token_ms + far_ms
+    }
+
+    fn pick(&self, call: &Call, candidates: &[Candidate], choices: &[Choice]) -> Option<Choice> {
+        let cost_ms = |choice: &Choice| self.cost_ms(choice, &candidates[choice.index]);
+        let price = |choice: &Choice| candidates[choice.index].price_millicents_per_h as f64;
+        let waits = call.priority == Priority::Deferrable && self.switches.wait_for_home;
+        let bound_ms =
+            if waits { call.target_ms as f64 * SLACK_SHARE } else { call.target_ms as f64 };
+        let in_time = choices.iter().filter(|choice| cost_ms(choice) <= bound_ms);
+        let within = if waits {
+            least(in_time, |choice| (choice.prefill_tokens as f64, cost_ms(choice)))
+        } else if self.switches.price {
+            least(in_time, |choice| (price(choice), cost_ms(choice)))
+        } else {
+            None
+        };
+        within.or_else(|| least(choices.iter(), |choice| (cost_ms(choice), price(choice))))
+    }
+}
+
+impl Policy for Prefix {
+    fn choose(
+        &mut self,
+        call: &Call,
+        candidates: &[Candidate],
+        beliefs: &Beliefs,
+        random: &mut dyn Rng,
+    ) -> Option<Choice> {
+        if candidates.is_empty() {
+            return None;
+        }
+        let key = self.popularity.home_key(self.switches.home, &call.blocks, candidates.len());
+        let picks = match key {
+            Some(key) => self.shortlist(call, key, candidates, beliefs, random),
+            None => (0..candidates.len()).collect(),
+        };
+        let choices: Vec<Choice> =
+            picks.iter().map(|index| estimate(call, candidates, *index, beliefs)).collect();
+        self.pick(call, candidates, &choices)
+    }
+}
+
+fn load_bound(candidates: &[Candidate]) -> f64 {
+    let sum: f64 = candidates.iter().map(|candidate| candidate.load.fill()).sum();
+    let one_stream = candidates.first().map_or(0.0, |first| 1.0 / f64::from(first.load.slots));
+    LOAD_BOUND * sum / candidates.len() as f64 + one_stream
+}
+
+fn best_holder(call: &Call, candidates: &[Candidate], beliefs: &Beliefs) -> Option<usize> {
+    let held = |index: usize| {
+        let belief = beliefs.of(&candidates[index].name);
+        belief.map_or(0, |belief| belief.cached_blocks(&call.blocks))
+    };
+    let holders = (0..candidates.len()).map(|index| (held(index), index));
+    holders.filter(|(blocks, _)| *blocks > 0).max().map(|(_, index)| index)
+}
+
+fn least<'a>(
+    choices: impl Iterator<Item = &'a Choice>,
+    key: impl Fn(&Choice) -> (f64, f64),
+) -> Option<Choice> {
+    let order = |left: &&Choice, right: &&Choice| {
+        key(left).partial_cmp(&key(right)).unwrap_or(std::cmp::Ordering::Equal)
+    };
+    choices.min_by(order).copied()
+}
--- /dev/null
+++ b/crates/fl-routing/src/policy/prefix/home.rs
@@ -0,0 +1,73 @@
+//! Which block of a prompt picks the runners that are its home.
+
+use fl_protocol::BlockHash;
+
+/// Calls after which all counts are halved, so that old traffic fades.
+const HALVED_AFTER_CALLS: u32 = 2_048;
+/// Calls before a share of the traffic says anything.
+const FIRST_CALLS: u32 = 64;
+
+/// Which block's hash picks the homes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HomeRule {
+    /// Block number `n` (from 1), or the last one of a shorter prompt.
+    Block(usize),
+    /// The first block that less than one runner's share of the calls have in common.
+    ///
+    /// A block that more calls share, such as a system prompt, cannot have one home.
+    FirstLight,
+}
+
+/// Counts how often the leading blocks of prompts were seen, sorted by block.
+#[derive(Debug, Clone, Default)]
+pub struct Popularity {
+    counts: Vec<(BlockHash, u32)>,
+    calls: u32,
+}
+
+impl Popularity {
+    /// Gives the hash that picks the homes; `None` for a prompt without a full block.
+    pub fn home_key(
+        &mut self,
+        rule: HomeRule,
+        blocks: &[BlockHash],
+        runners: usize,
+    ) -> Option<BlockHash> {
+        match rule {
+            HomeRule::Block(number) => {
+                let index = number.max(1).min(blocks.len()).checked_sub(1)?;
+                blocks.get(index).copied()
+            }
+            HomeRule::FirstLight => self.first_light(blocks, runners),
+        }
+    }
+
+    fn first_light(&mut self, blocks: &[BlockHash], runners: usize) -> Option<BlockHash> {
+        self.count_call();
+        let heavy = (self.calls.max(FIRST_CALLS) as usize / runners.max(1)).max(2) as u32;
+        let light = blocks.iter().find(|block| self.count(**block) < heavy);
+        light.or(blocks.last()).copied()
+    }
+
+    fn count_call(&mut self) {
+        self.calls += 1;
+        if self.calls >= HALVED_AFTER_CALLS {
+            self.calls /= 2;
+            self.counts.iter_mut().for_each(|(_, count)| *count /= 2);
+            self.counts.retain(|(_, count)| *count > 0);
+        }
+    }
+
+    fn count(&mut self, block: BlockHash) -> u32 {
+        match self.counts.binary_search_by_key(&block, |(hash, _)| *hash) {
+            Ok(index) => {
+                self.counts[index].1 += 1;
+                self.counts[index].1
+            }
+            Err(index) => {
+                self.counts.insert(index, (block, 1));
+                1
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fl-routing/src/policy/round_robin.rs
@@ -0,0 +1,28 @@
+//! Takes the runners in turn; a baseline for measurements.
+
+use super::{Call, Candidate, Choice, Policy, estimate};
+use crate::belief::Beliefs;
+use rand::Rng;
+
+/// Takes the runners in turn.
+#[derive(Debug, Clone, Default)]
+pub struct RoundRobin {
+    next: usize,
+}
+
+impl Policy for RoundRobin {
+    fn choose(
+        &mut self,
+        call: &Call,
+        candidates: &[Candidate],
+        beliefs: &Beliefs,
+        _random: &mut dyn Rng,
+    ) -> Option<Choice> {
+        if candidates.is_empty() {
+            return None;
+        }
+        let index = self.next % candidates.len();
+        self.next = self.next.wrapping_add(1);
+        Some(estimate(call, candidates, index, beliefs))
+    }
+}
--- /dev/null
+++ b/crates/fl-routing/src/rendezvous.rs
@@ -0,0 +1,32 @@
+//! Rendezvous hashing: all nodes rank the same servers alike for a key, without a message.
+
+use fl_protocol::hash64;
+
+/// Hashes a name once, so that ranking it for many keys stays cheap.
+pub fn name_hash(name: &str) -> u64 {
+    hash64(&[name.as_bytes()])
+}
+
+/// Ranks a server for a key; the greatest rank is the key's home.
+///
+/// The finaliser of SplitMix64 spreads both inputs over all bits at a few nanoseconds a call.
+pub fn rank(key: u64, server: u64) -> u64 {
+    let mut mixed = key ^ server.rotate_left(32);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+/// Gives the indexes of the `count` servers with the greatest ranks for a key, best first.
+pub fn top(key: u64, servers: &[u64], count: usize) -> Vec<usize> {
+    let mut best: Vec<(u64, usize)> = Vec::with_capacity(count + 1);
+    for (index, server) in servers.iter().enumerate() {
+        let ranked = (rank(key, *server), index);
+        let place = best.partition_point(|other| *other > ranked);
+        if place < count {
+            best.insert(place, ranked);
+            best.truncate(count);
+        }
+    }
+    best.into_iter().map(|(_, index)| index).collect()
+}
--- /dev/null
+++ b/crates/fl-routing/tests/watch.rs
@@ -0,0 +1,74 @@
+//! Which runners a node watches and whom it tells.
+
+use fl_protocol::platform::{Vm, VmKind};
+use fl_protocol::{Member, MemberState};
+use fl_routing::watch::{WATCHERS_PER_RUNNER, peers_to_tell, watched_runners};
+use rstest::rstest;
+use std::net::SocketAddr;
+
+fn member(number: usize, data_centers: usize) -> Member {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Member {
+        vm: format!("n{number:03}"),
+        data_center: format!("dc{}", number % data_centers),
+        peer_address: address,
+        gossip_address: address,
+        admin_address: address,
+        incarnation: 1,
+        state: MemberState::Alive,
+    }
+}
+
+fn runner(number: usize, data_centers: usize) -> Vm {
+    Vm {
+        name: format!("r{number:03}"),
+        kind: VmKind::Runner,
+        pool: "runners".to_string(),
+        data_center: format!("dc{}", number % data_centers),
+        address: "127.0.0.1:1".to_string(),
+        machine_class: "standard".to_string(),
+        reclaimable: true,
+        leaving: false,
+    }
+}
+
+#[rstest]
+#[case::today(6, 3, 12, 6)]
+#[case::letter(340, 8, 760, WATCHERS_PER_RUNNER)]
+fn watchers_of_each(
+    #[case] nodes: usize,
+    #[case] data_centers: usize,
+    #[case] runners: usize,
+    #[case] expected: usize,
+) {
+    let members: Vec<Member> = (0..nodes).map(|number| member(number, data_centers)).collect();
+    let vms: Vec<Vm> = (0..runners).map(|number| runner(number, data_centers)).collect();
+    let watched: Vec<Vec<String>> =
+        members.iter().map(|own| watched_runners(own, &members, &vms)).collect();
+    for vm in &vms {
+        let watchers = watched.iter().filter(|names| names.binary_search(&vm.name).is_ok());
+        assert_eq!(watchers.count(), expected, "watchers of {}", vm.name);
+    }
+}
+
+#[test]
+fn news_reach_all() {
+    let members: Vec<Member> = (0..340).map(|number| member(number, 8)).collect();
+    let mut knows = vec![false; members.len()];
+    let mut to_tell = vec![0];
+    let mut messages = 0;
+    knows[0] = true;
+    while let Some(index) = to_tell.pop() {
+        for peer in peers_to_tell(&members[index], &members, "r001") {
+            messages += 1;
+            let place = members.iter().position(|member| member.vm == peer.vm).unwrap();
+            if !knows[place] {
+                knows[place] = true;
+                to_tell.push(place);
+            }
+        }
+    }
+    let reached = knows.iter().filter(|known| **known).count();
+    assert!(reached >= members.len() * 99 / 100, "only {reached} were told");
+    assert!(messages <= members.len() * 11, "{messages} messages");
+}
