--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -7,5 +7,7 @@
 pub mod front;
 pub mod readiness;
 pub mod streams;
+pub mod directory;
+pub mod routing;
 
 pub use context::{ServiceContext, StartError};
