Read settings and the configuration from INI, checked whole

Cause: nothing read the settings of a node or the operators' configuration.

Change: a Document is read key by key; each reader names its key, what is allowed and the default, so one pass finds every fault and the same list is the reference of the format. Settings::read and read_configuration report all faults with section, key, value and what is allowed; unknown and doubled sections and keys are faults, secrets are hidden.

--- /dev/null
+++ b/crates/fl-config/src/check_configuration.rs
@@ -0,0 +1,73 @@
+//! Checks that the sections of a configuration fit together.
+
+use crate::document::Document;
+use crate::fault::Fault;
+use fl_protocol::{CallClass, Configuration, Workspace};
+
+/// Adds a fault for each reference to something that no section declares, and for each class
+/// whose times contradict each other.
+pub(crate) fn check_relations(configuration: &Configuration, document: &mut Document) {
+    for workspace in &configuration.workspaces {
+        check_models(workspace, configuration, document);
+        check_services(workspace, configuration, document);
+        check_classes(workspace, document);
+    }
+}
+
+fn check_models(workspace: &Workspace, configuration: &Configuration, document: &mut Document) {
+    for reference in &workspace.models {
+        let (model_name, adapter) = match reference.split_once(':') {
+            Some((model_name, adapter)) => (model_name, Some(adapter)),
+            None => (reference.as_str(), None),
+        };
+        let Some(model) = configuration.model(model_name) else {
+            let remedy = format!("add [model {model_name}] or remove it from models");
+            document.add_fault(undeclared(workspace, "model", model_name, remedy));
+            continue;
+        };
+        if let Some(adapter) = adapter.filter(|name| !model.adapters.iter().any(|a| a == name)) {
+            let remedy = format!("add it to adapters of [model {model_name}] or remove it");
+            document.add_fault(undeclared(workspace, "adapter", adapter, remedy));
+        }
+    }
+}
+
+fn check_services(workspace: &Workspace, configuration: &Configuration, document: &mut Document) {
+    for name in &workspace.services {
+        if configuration.service(name).is_none() {
+            let remedy = format!("add [service {name}] or remove it from services");
+            document.add_fault(undeclared(workspace, "service", name, remedy));
+        }
+    }
+}
+
+/// Every call has a class, so a workspace that may call a model needs one.
+fn check_classes(workspace: &Workspace, document: &mut Document) {
+    if workspace.classes.is_empty() && !workspace.models.is_empty() {
+        let remedy = format!("add [class {}/NAME]", workspace.name);
+        document.add_fault(undeclared(workspace, "class", "of any name", remedy));
+    }
+    for class in &workspace.classes {
+        check_deadline(workspace, class, document);
+    }
+}
+
+fn check_deadline(workspace: &Workspace, class: &CallClass, document: &mut Document) {
+    if class.deadline_ms < class.first_token_target_ms {
+        document.add_fault(Fault::Value {
+            section: format!("class {}/{}", workspace.name, class.name),
+            key: "deadline_ms".to_string(),
+            value: class.deadline_ms.to_string(),
+            allowed: format!("at least first_token_target_ms, {}", class.first_token_target_ms),
+        });
+    }
+}
+
+fn undeclared(workspace: &Workspace, what: &str, name: &str, remedy: String) -> Fault {
+    Fault::Undeclared {
+        section: format!("workspace {}", workspace.name),
+        what: what.to_string(),
+        name: name.to_string(),
+        remedy,
+    }
+}
--- /dev/null
+++ b/crates/fl-config/src/document.rs
@@ -0,0 +1,223 @@
+//! An INI file as sections and lines, read key by key, so that every fault is found in one pass.
+
+use crate::fault::{Fault, FaultReport};
+use crate::value::ValueKind;
+use ini::{Ini, ParseOption, Properties};
+
+/// A key that a reader asked for; together they make the reference of a format.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownKey {
+    /// The section's name.
+    pub section: String,
+    /// The key.
+    pub key: String,
+    /// What is allowed.
+    pub allowed: String,
+    /// What counts without the line; `None` when the line is required.
+    pub default: Option<String>,
+}
+
+#[derive(Debug)]
+struct Section {
+    name: String,
+    lines: Vec<Line>,
+}
+
+#[derive(Debug)]
+struct Line {
+    key: String,
+    value: String,
+}
+
+/// A file that is being read, and the faults found so far.
+#[derive(Debug, Default)]
+pub struct Document {
+    sections: Vec<Section>,
+    faults: Vec<Fault>,
+    known_keys: Vec<KnownKey>,
+}
+
+impl Document {
+    /// Parses a text; sections and keys that stand twice are faults already here.
+    pub fn parse(text: &str) -> Result<Self, FaultReport> {
+        let options =
+            ParseOption { enabled_quote: false, enabled_escape: false, ..Default::default() };
+        let ini = Ini::load_from_str_opt(text, options)
+            .map_err(|error| Fault::Syntax { line: error.line, message: error.msg.into_owned() })?;
+        let mut document = Document::default();
+        for (name, properties) in &ini {
+            document.add_section(name.unwrap_or_default(), properties);
+        }
+        Ok(document)
+    }
+
+    /// The names of the sections, in the file's order.
+    pub fn section_names(&self) -> Vec<String> {
+        self.sections.iter().map(|section| section.name.clone()).collect()
+    }
+
+    /// Reads one section; without it every required key is missing.
+    pub fn section(&mut self, name: &str) -> SectionReader<'_> {
+        let found = self.sections.iter().position(|section| section.name == name);
+        let lines = found.map(|index| self.sections.remove(index).lines).unwrap_or_default();
+        SectionReader { document: self, name: name.to_string(), lines, keys: Vec::new() }
+    }
+
+    /// Adds a fault found by comparing values.
+    pub fn add_fault(&mut self, fault: Fault) {
+        self.faults.push(fault);
+    }
+
+    /// The keys asked for so far.
+    pub fn into_known_keys(self) -> Vec<KnownKey> {
+        self.known_keys
+    }
+
+    /// Ends reading: what was not read is unknown, and a value is given only without faults.
+    pub fn finish<T>(mut self, value: Option<T>, known_sections: &str) -> Result<T, FaultReport> {
+        for section in std::mem::take(&mut self.sections) {
+            if !section.name.is_empty() || !section.lines.is_empty() {
+                let allowed = known_sections.to_string();
+                self.faults.push(Fault::UnknownSection { section: section.name, allowed });
+            }
+        }
+        match value {
+            Some(value) if self.faults.is_empty() => Ok(value),
+            _ => Err(FaultReport { faults: self.faults }),
+        }
+    }
+
+    fn add_section(&mut self, name: &str, properties: &Properties) {
+        if self.sections.iter().any(|section| section.name == name) {
+            self.count_duplicate_section(name);
+            return;
+        }
+        let lines = properties.iter().map(Line::from).collect();
+        self.sections.push(Section { name: name.to_string(), lines });
+    }
+
+    fn count_duplicate_section(&mut self, name: &str) {
+        let counted = self.faults.iter_mut().find_map(|fault| match fault {
+            Fault::DuplicateSection { section, count } if section == name => Some(count),
+            _ => None,
+        });
+        match counted {
+            Some(count) => *count += 1,
+            None => {
+                self.faults.push(Fault::DuplicateSection { section: name.to_string(), count: 2 });
+            }
+        }
+    }
+}
+
+impl From<(&str, &str)> for Line {
+    fn from((key, value): (&str, &str)) -> Self {
+        Line { key: key.to_string(), value: value.trim().to_string() }
+    }
+}
+
+/// Reads the keys of one section.
+pub struct SectionReader<'a> {
+    document: &'a mut Document,
+    name: String,
+    lines: Vec<Line>,
+    keys: Vec<String>,
+}
+
+impl SectionReader<'_> {
+    /// Reads a key that must be there.
+    pub fn required<T: 'static>(&mut self, key: &str, kind: ValueKind<T>) -> Option<T> {
+        self.note_key(key, &kind, None);
+        match self.take(key) {
+            Some(text) => self.read(key, &text, &kind),
+            None => {
+                let fault = Fault::Missing {
+                    section: self.name.clone(),
+                    key: key.to_string(),
+                    allowed: kind.allowed,
+                };
+                self.document.faults.push(fault);
+                None
+            }
+        }
+    }
+
+    /// Reads a key that has a default, written as it would stand in the file.
+    pub fn optional<T: 'static>(
+        &mut self,
+        key: &str,
+        default: &str,
+        kind: ValueKind<T>,
+    ) -> Option<T> {
+        self.note_key(key, &kind, Some(default));
+        let text = self.take(key).unwrap_or_else(|| default.to_string());
+        self.read(key, &text, &kind)
+    }
+
+    /// Reads a key that takes another key's value when it is absent.
+    pub fn optional_or<T: 'static>(
+        &mut self,
+        key: &str,
+        other_key: &str,
+        other: Option<T>,
+        kind: ValueKind<T>,
+    ) -> Option<T> {
+        self.note_key(key, &kind, Some(&format!("the value of {other_key}")));
+        match self.take(key) {
+            Some(text) => self.read(key, &text, &kind),
+            None => other,
+        }
+    }
+
+    /// Ends reading: lines that were not asked for are unknown keys.
+    pub fn finish(self) {
+        let allowed = self.keys.join(", ");
+        for line in self.lines {
+            let fault = Fault::UnknownKey {
+                section: self.name.clone(),
+                key: line.key,
+                allowed: allowed.clone(),
+            };
+            self.document.faults.push(fault);
+        }
+    }
+
+    fn note_key<T>(&mut self, key: &str, kind: &ValueKind<T>, default: Option<&str>) {
+        self.keys.push(key.to_string());
+        self.document.known_keys.push(KnownKey {
+            section: self.name.clone(),
+            key: key.to_string(),
+            allowed: kind.allowed.clone(),
+            default: default.map(String::from),
+        });
+    }
+
+    fn take(&mut self, key: &str) -> Option<String> {
+        let (mut found, others): (Vec<Line>, Vec<Line>) =
+            std::mem::take(&mut self.lines).into_iter().partition(|line| line.key == key);
+        self.lines = others;
+        if found.len() > 1 {
+            let fault = Fault::DuplicateKey {
+                section: self.name.clone(),
+                key: key.to_string(),
+                count: found.len(),
+            };
+            self.document.faults.push(fault);
+        }
+        found.pop().map(|line| line.value)
+    }
+
+    fn read<T: 'static>(&mut self, key: &str, text: &str, kind: &ValueKind<T>) -> Option<T> {
+        let value = kind.read(text);
+        if value.is_none() {
+            let shown = if kind.secret { "(hidden)" } else { text };
+            self.document.faults.push(Fault::Value {
+                section: self.name.clone(),
+                key: key.to_string(),
+                value: shown.to_string(),
+                allowed: kind.allowed.clone(),
+            });
+        }
+        value
+    }
+}
