Add the hybrid logical clock, the event ring and the time line's pages

Cause: events of several nodes had no common order and no place to be kept.

Change: a pure hybrid logical clock (stamps grow, follow peers' stamps, and ignore one more than a minute ahead), a bounded ring that counts what it drops, a merge by stamp, and the time line as text and as one HTML page with an SVG drawing: a band a data centre, a lane a VM, a mark an event, a path a request.

--- /dev/null
+++ b/crates/fl-timeline/src/clock.rs
@@ -0,0 +1,49 @@
+//! The hybrid logical clock: wall-clock time that never goes back and keeps cause before effect.
+
+use fl_protocol::UnixMs;
+use fl_protocol::event::Stamp;
+
+/// How far ahead of the local wall clock a peer's stamp may be, in milliseconds.
+///
+/// A stamp beyond it comes from a VM whose clock is set wrongly; following it would date all later
+/// events of the fleet into the future.
+pub const OBSERVED_AHEAD_MAX_MS: u64 = 60_000;
+
+/// A hybrid logical clock; the wall clock is an argument, so that every step can be tested.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct HybridClock {
+    last: Stamp,
+}
+
+impl HybridClock {
+    /// The last stamp given.
+    pub fn last(&self) -> Stamp {
+        self.last
+    }
+
+    /// Gives a stamp above all earlier ones.
+    pub fn tick(&mut self, now_ms: UnixMs) -> Stamp {
+        self.last = after(self.last, now_ms);
+        self.last
+    }
+
+    /// Takes the stamp of a received message and gives one above it and above all earlier ones.
+    ///
+    /// A stamp more than [`OBSERVED_AHEAD_MAX_MS`] ahead of `now_ms` is ignored.
+    pub fn observe(&mut self, stamp: Stamp, now_ms: UnixMs) -> Stamp {
+        if stamp.time_ms <= now_ms.saturating_add(OBSERVED_AHEAD_MAX_MS) {
+            self.last = self.last.max(stamp);
+        }
+        self.tick(now_ms)
+    }
+}
+
+fn after(last: Stamp, now_ms: UnixMs) -> Stamp {
+    if now_ms > last.time_ms {
+        return Stamp { time_ms: now_ms, counter: 0 };
+    }
+    match last.counter.checked_add(1) {
+        Some(counter) => Stamp { time_ms: last.time_ms, counter },
+        None => Stamp { time_ms: last.time_ms + 1, counter: 0 },
+    }
+}
--- /dev/null
+++ b/crates/fl-timeline/src/html/table.rs
@@ -0,0 +1,31 @@
+//! Lists the events below the drawing.
+
+use super::escape;
+use crate::kind::{group_of, kind_name};
+use crate::text::request_text;
+use crate::time::time_of_day_text;
+use fl_protocol::event::Event;
+
+/// Prints the events as a table.
+pub(super) fn render_table(events: &[Event]) -> String {
+    let rows: Vec<String> = events.iter().map(render_row).collect();
+    format!(
+        "<table>\n<tr><th>time</th><th>data centre</th><th>VM</th><th>event</th>\
+         <th>request</th><th>detail</th></tr>\n{}</table>\n",
+        rows.concat()
+    )
+}
+
+fn render_row(event: &Event) -> String {
+    format!(
+        "<tr><td>{}</td><td>{}</td><td>{}</td><td class=\"{}\">{}</td><td class=\"id\">{}</td>\
+         <td>{}</td></tr>\n",
+        time_of_day_text(event.stamp.time_ms),
+        escape(&event.data_center),
+        escape(&event.vm),
+        group_of(event.kind).name(),
+        kind_name(event.kind),
+        escape(&request_text(event)),
+        escape(&event.detail),
+    )
+}
--- a/crates/fl-timeline/src/lib.rs
+++ b/crates/fl-timeline/src/lib.rs
@@ -1,1 +1,17 @@
 //! Hybrid logical clock and the bounded ring of typed events.
+//!
+//! Each node stamps its events and keeps the newest of them in memory; `filbertctl timeline`
+//! merges the rings of all nodes. Everything here is a function of its arguments: no clock is read
+//! and no socket opened. See `docs/design/020-time-line.md`.
+
+pub mod clock;
+pub mod html;
+pub mod kind;
+pub mod merge;
+pub mod ring;
+pub mod text;
+pub mod time;
+
+pub use clock::HybridClock;
+pub use merge::{TimeLine, merge};
+pub use ring::{EventFilter, EventRing, TimeLinePage};
