Wire a node from its services, with provisional ones where parts are missing

Cause: the whole path has to run as processes before its parts are whole. Change: the node's life from start to hand-over; the command line; a provisional module for the services that are still being built.

--- a/crates/fl-kernel/src/services.rs
+++ b/crates/fl-kernel/src/services.rs
@@ -55,6 +55,8 @@
 pub trait Directory: Send + Sync {
     /// The backend servers of one kind, sorted by VM name.
     fn backends(&self, kind: VmKind) -> Vec<Backend>;
+    /// When a VM of any kind goes away, if any source said so.
+    fn leaving_at_ms(&self, vm: &VmName) -> Option<UnixMs>;
     /// Takes word that a VM is leaving; a lagging list never takes that back.
     fn mark_leaving(&self, vm: &VmName, leaving_at_ms: UnixMs);
     /// Takes word of a failed or succeeded contact with a VM.
--- a/crates/fl-node/src/context.rs
+++ b/crates/fl-node/src/context.rs
@@ -43,6 +43,12 @@
     Listen(String, String),
     /// a service is wired wrongly: {0}
     Registry(RegistryError),
+    /// cannot handle signals: {0}; check what the process is allowed to do
+    Signal(String),
+    /// cannot read the settings: {0}
+    Settings(String),
+    /// cannot start the runtime: {0}; check the limits of the process
+    Runtime(String),
     /// cannot set up logs: {0}; correct [log]
     Log(String),
     /// cannot set up metrics: {0}; start one node a process
--- a/crates/fl-node/src/directory.rs
+++ b/crates/fl-node/src/directory.rs
@@ -95,6 +95,10 @@
         servers.into_iter().map(backend).collect()
     }
 
+    fn leaving_at_ms(&self, vm: &VmName) -> Option<UnixMs> {
+        self.table.lock().leaving_at_ms(vm)
+    }
+
     fn mark_leaving(&self, vm: &VmName, leaving_at_ms: UnixMs) {
         if self.table.lock().mark_leaving(vm, leaving_at_ms) {
             self.leaving_learned(ReclaimNotice { vm: vm.clone(), leaving_at_ms });
--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -4,10 +4,14 @@
 //! `docs/design/010-packages.md`.
 
 pub mod context;
+pub mod directory;
 pub mod front;
+mod interim;
+pub mod options;
 pub mod readiness;
-pub mod streams;
-pub mod directory;
 pub mod routing;
+pub mod run;
+pub mod streams;
 
 pub use context::{ServiceContext, StartError};
+pub use run::start;
--- /dev/null
+++ b/crates/fl-node/src/run.rs
@@ -0,0 +1,128 @@
+//! The life of a node: services start in order, calls are served, nothing is cut off at the end.
+
+use crate::context::{ServiceContext, StartError};
+use crate::front;
+use crate::options::NodeOptions;
+use crate::readiness::{READINESS, Readiness};
+use crate::streams::{self, Streams};
+use crate::{directory, interim, routing};
+use fl_config::Settings;
+use fl_kernel::clock::unix_ms;
+use fl_kernel::names;
+use fl_kernel::services::{Directory, EventLog, Membership};
+use fl_kernel::{Node, Running, Starting};
+use fl_protocol::event::EventKind;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::Instant;
+
+/// Ownership is handed over this long before the VM goes away, so that callers can still be told.
+const HAND_OVER_MARGIN: Duration = Duration::from_millis(1500);
+/// How long callers that were asked to reconnect get to read that.
+const LAST_WORDS: Duration = Duration::from_millis(300);
+
+/// Why a node stops, and by when it must be gone.
+struct Departure {
+    reason: String,
+    deadline: Instant,
+}
+
+/// Reads the settings and runs a node to its end.
+pub fn start(options: &NodeOptions) -> Result<(), StartError> {
+    let path = options.settings.as_ref().ok_or_else(|| {
+        StartError::Settings("no file was named; use --settings FILE".to_string())
+    })?;
+    let settings =
+        Settings::load(path).map_err(|report| StartError::Settings(report.to_string()))?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| StartError::Runtime(error.to_string()))?;
+    runtime.block_on(run(settings))
+}
+
+/// Runs a node until it is told to stop or its VM is taken back.
+pub async fn run(settings: Settings) -> Result<(), StartError> {
+    let node = Node::new();
+    let context = service_context(settings, &node);
+    let readiness = Arc::new(Readiness::new(&context));
+    context.registry.register::<Readiness>(READINESS, readiness.clone())?;
+    let streams = start_services(&context, readiness.clone()).await?;
+    let events = context.registry.find::<dyn EventLog>(names::EVENT_LOG)?;
+    events.record(EventKind::NodeStarted, None, String::new());
+    let node = node.run();
+    let departure = wait_for_departure(&context).await?;
+    events.record(EventKind::NodeLeaving, None, departure.reason.clone());
+    stop(node, &context, &readiness, &streams, departure).await;
+    Ok(())
+}
+
+fn service_context(settings: Settings, node: &Node<Starting>) -> ServiceContext {
+    ServiceContext {
+        settings: Arc::new(settings),
+        registry: node.registry(),
+        accepting: node.accepting(),
+        cancel: node.cancel(),
+        tasks: node.tasks(),
+        runtime: Handle::current(),
+    }
+}
+
+async fn start_services(
+    context: &ServiceContext,
+    readiness: Arc<Readiness>,
+) -> Result<Arc<Streams>, StartError> {
+    interim::start(context)?;
+    directory::start(context)?;
+    routing::start(context)?;
+    let streams = streams::start(context)?;
+    streams::start_peers(context, streams.clone())?;
+    streams.watch()?;
+    front::start(context, streams.clone(), readiness).await?;
+    Ok(streams)
+}
+
+/// Waits for a signal or for the notice that the VM is taken back.
+async fn wait_for_departure(context: &ServiceContext) -> Result<Departure, StartError> {
+    let signals = |error: std::io::Error| StartError::Signal(error.to_string());
+    let mut terminate = signal(SignalKind::terminate()).map_err(signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(signals)?;
+    let directory = context.registry.find::<dyn Directory>(names::DIRECTORY)?;
+    let mut changes = directory.subscribe();
+    let drain = context.settings.limits.drain_timeout;
+    let own_vm = &context.settings.node.vm;
+    loop {
+        if let Some(leaving_at_ms) = directory.leaving_at_ms(own_vm) {
+            let left = Duration::from_millis(leaving_at_ms.saturating_sub(unix_ms()));
+            let usable = left.saturating_sub(HAND_OVER_MARGIN).min(drain);
+            let reason = "the VM is taken back".to_string();
+            return Ok(Departure { reason, deadline: Instant::now() + usable });
+        }
+        let reason = tokio::select! {
+            _ = terminate.recv() => "SIGTERM",
+            _ = interrupt.recv() => "SIGINT",
+            _ = changes.changed() => continue,
+        };
+        return Ok(Departure { reason: reason.to_string(), deadline: Instant::now() + drain });
+    }
+}
+
+/// Lets requests in flight end or hands them over, then ends all tasks.
+async fn stop(
+    node: Node<Running>,
+    context: &ServiceContext,
+    readiness: &Readiness,
+    streams: &Arc<Streams>,
+    departure: Departure,
+) {
+    readiness.set_leaving();
+    let node = node.stop();
+    if let Ok(membership) = context.registry.find::<dyn Membership>(names::MEMBERSHIP) {
+        membership.leave();
+    }
+    streams.leave(departure.deadline).await;
+    tokio::time::sleep(LAST_WORDS).await;
+    node.finish().await;
+}
