Add membership over UDP

Cause: the nodes need to know each other without a coordination service.

Change: `fl-membership` holds a pure state machine (`on_tick`, `on_datagram`) with postcard datagrams of at most 1,200 bytes under HMAC-SHA256 of the fleet key. A node probes the members of its own data centre in turn, asks peers for indirect probes, and lets suspects refute by a greater incarnation. Only members of the same data centre call a member dead; a data centre that is silent as a whole is called cut off and probed on, so that it heals. News, parts of the table and small riders share a byte budget a second, so that a node's traffic does not grow with the fleet. `fl-node::membership` is the socket and clock around it.

Conclusion: beliefs settle under loss, pauses, restarts and cuts in the virtual-time loop. Figures over real sockets are still to be measured.

--- /dev/null
+++ b/crates/fl-membership/src/budget.rs
@@ -0,0 +1,56 @@
+//! The byte budget of a node's control traffic.
+//!
+//! Heartbeats and news of members are always sent; riders and parts of the table wait until the
+//! budget allows them, so that the traffic of a node does not grow with the fleet.
+
+use std::time::Duration;
+
+/// Bytes of the IP and UDP headers of one datagram.
+pub const HEADER_BYTES: usize = 28;
+/// Bytes a node may send a second for membership; half of what leaves room for receiving as much
+/// within 4 KB a second.
+pub const SEND_BUDGET_BYTES_PER_S: u64 = 1500;
+/// The span of unused budget that is kept for a burst.
+const BURST: Duration = Duration::from_secs(2);
+
+/// A token bucket in bytes.
+#[derive(Debug, Clone)]
+pub struct ByteBudget {
+    rate_bytes_per_s: u64,
+    left_bytes: i64,
+    refilled_at: Duration,
+}
+
+impl ByteBudget {
+    /// Makes a full bucket.
+    pub fn new(rate_bytes_per_s: u64, now: Duration) -> Self {
+        let left_bytes = burst_bytes(rate_bytes_per_s);
+        ByteBudget { rate_bytes_per_s, left_bytes, refilled_at: now }
+    }
+
+    /// Adds what the time since the last refill earned.
+    pub fn refill(&mut self, now: Duration) {
+        let elapsed_ms = now.saturating_sub(self.refilled_at).as_millis() as u64;
+        let earned_bytes = self.rate_bytes_per_s * elapsed_ms / 1000;
+        if earned_bytes == 0 {
+            return;
+        }
+        self.refilled_at = now;
+        let limit_bytes = burst_bytes(self.rate_bytes_per_s);
+        self.left_bytes = (self.left_bytes + earned_bytes as i64).min(limit_bytes);
+    }
+
+    /// Takes out what a datagram cost.
+    pub fn spend(&mut self, datagram_bytes: usize) {
+        self.left_bytes -= (datagram_bytes + HEADER_BYTES) as i64;
+    }
+
+    /// What may still be sent.
+    pub fn left_bytes(&self) -> usize {
+        self.left_bytes.max(0) as usize
+    }
+}
+
+fn burst_bytes(rate_bytes_per_s: u64) -> i64 {
+    (rate_bytes_per_s * BURST.as_secs()) as i64
+}
--- a/crates/fl-membership/src/lib.rs
+++ b/crates/fl-membership/src/lib.rs
@@ -1,1 +1,18 @@
 //! Membership as a pure state machine and its datagram codec.
+//!
+//! [`MembershipState`] is told the time and the datagrams that arrived, and answers with the
+//! datagrams to send. It reads no clock and owns no socket, so that every decision can be tested
+//! in a table. See `docs/design/060-membership.md`.
+
+pub mod budget;
+pub mod codec;
+pub mod contacts;
+pub mod probes;
+pub mod riders;
+pub mod spread;
+pub mod state;
+pub mod table;
+
+pub use codec::{CodecError, MAX_DATAGRAM_BYTES};
+pub use state::{MembershipConfig, MembershipState, Outgoing, Random, Traffic};
+pub use table::MemberChange;
--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -4,5 +4,6 @@
 //! `docs/design/010-packages.md`.
 
 pub mod context;
+pub mod membership;
 
 pub use context::{ServiceContext, StartError};
--- /dev/null
+++ b/crates/fl-node/src/membership.rs
@@ -0,0 +1,196 @@
+//! Membership over UDP: the socket and the clock around [`fl_membership::MembershipState`].
+//!
+//! See `docs/design/060-membership.md`.
+
+use crate::context::{ServiceContext, StartError};
+use fl_config::Settings;
+use fl_kernel::clock::unix_ms;
+use fl_kernel::services::{EventLog, Membership};
+use fl_kernel::{Registry, names};
+use fl_membership::state::ConfigurationHint;
+use fl_membership::{MemberChange, MembershipConfig, MembershipState, Outgoing, Traffic};
+use fl_protocol::event::EventKind;
+use fl_protocol::{ConfigurationVersion, Member, MemberState};
+use parking_lot::Mutex;
+use rand::{SeedableRng, rngs::StdRng};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Ticks in one heartbeat, so that a probe without an answer is noticed early.
+const TICKS_PER_HEARTBEAT: u32 = 10;
+/// The shortest time between two ticks.
+const MIN_TICK: Duration = Duration::from_millis(10);
+/// More than the largest datagram, so that a longer one is seen to be too long.
+const RECEIVE_BUFFER_BYTES: usize = 2048;
+
+/// The membership of this node.
+pub struct MembershipService {
+    state: Mutex<MembershipState>,
+    socket: UdpSocket,
+    started_at: Instant,
+    revision: watch::Sender<u64>,
+    registry: Arc<Registry>,
+}
+
+/// Starts membership and registers it.
+pub async fn start(context: &ServiceContext) -> Result<Arc<MembershipService>, StartError> {
+    let settings = &context.settings;
+    let gossip = settings.listen.gossip;
+    let socket = UdpSocket::bind(gossip)
+        .await
+        .map_err(|error| StartError::Listen(gossip.to_string(), error.to_string()))?;
+    let config = MembershipConfig::new(
+        settings.fleet.key,
+        settings.membership.heartbeat,
+        settings.membership.suspicion,
+        settings.fleet.seeds.clone(),
+    );
+    let random = Box::new(StdRng::from_rng(&mut rand::rng()));
+    let state = MembershipState::new(config, own_member(settings), random, Duration::ZERO);
+    let service = Arc::new(MembershipService {
+        state: Mutex::new(state),
+        socket,
+        started_at: Instant::now(),
+        revision: watch::Sender::new(0),
+        registry: context.registry.clone(),
+    });
+    context.registry.register::<dyn Membership>(names::MEMBERSHIP, service.clone())?;
+    let tick = (settings.membership.heartbeat / TICKS_PER_HEARTBEAT).max(MIN_TICK);
+    context.tasks.spawn(receive(service.clone(), context.cancel.clone()));
+    context.tasks.spawn(keep_time(service.clone(), tick, context.cancel.clone()));
+    Ok(service)
+}
+
+impl MembershipService {
+    /// Sets the small payload, at most 64 bytes, that spreads with this node's heartbeats.
+    pub fn set_rider(&self, payload: Vec<u8>) -> bool {
+        self.state.lock().set_rider(payload)
+    }
+
+    /// The newest payload of a member.
+    pub fn rider(&self, vm: &str) -> Option<Vec<u8>> {
+        self.state.lock().rider(vm)
+    }
+
+    /// Sets the version of the configuration that this node's heartbeats carry.
+    pub fn set_configuration_version(&self, version: ConfigurationVersion) {
+        self.state.lock().set_configuration_version(version);
+    }
+
+    /// Who has a higher version of the configuration than this node.
+    pub fn configuration_hint(&self) -> Option<ConfigurationHint> {
+        self.state.lock().configuration_hint()
+    }
+
+    /// What was sent and received.
+    pub fn traffic(&self) -> Traffic {
+        self.state.lock().traffic()
+    }
+
+    fn now(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+
+    /// Sends what the state asks for and tells the node of changes.
+    async fn act(&self, outgoing: Vec<Outgoing>) {
+        for datagram in outgoing {
+            // A lost datagram is made up for by the next heartbeat.
+            let _ = self.socket.send_to(&datagram.bytes, datagram.to).await;
+        }
+        let (changes, revision) = {
+            let mut state = self.state.lock();
+            (state.take_changes(), state.revision())
+        };
+        self.revision.send_if_modified(|known| std::mem::replace(known, revision) != revision);
+        for change in changes {
+            self.record(&change);
+        }
+    }
+
+    fn record(&self, change: &MemberChange) {
+        let before = change.before.map_or("unknown".to_string(), |state| format!("{state:?}"));
+        let detail = format!("{}: {before} to {:?}", change.vm, change.after);
+        metrics::counter!("membership_changes", "to" => format!("{:?}", change.after)).increment(1);
+        if let Ok(log) = self.registry.find::<dyn EventLog>(names::EVENT_LOG) {
+            log.record(EventKind::MemberChanged, None, detail);
+        }
+    }
+
+    fn refuse_stranger(&self, place: String) {
+        metrics::counter!("membership_datagrams_refused").increment(1);
+        if let Ok(log) = self.registry.find::<dyn EventLog>(names::EVENT_LOG) {
+            log.record(EventKind::StrangerRefused, None, place);
+        }
+    }
+}
+
+impl Membership for MembershipService {
+    fn self_member(&self) -> Member {
+        self.state.lock().own().clone()
+    }
+
+    fn members(&self) -> Vec<Member> {
+        self.state.lock().members()
+    }
+
+    fn subscribe(&self) -> watch::Receiver<u64> {
+        self.revision.subscribe()
+    }
+
+    fn leave(&self) {
+        let outgoing = self.state.lock().leave(self.now());
+        for datagram in outgoing {
+            // A full socket buffer loses the datagram; the coming heartbeats say the same.
+            let _ = self.socket.try_send_to(&datagram.bytes, datagram.to);
+        }
+        let revision = self.state.lock().revision();
+        self.revision.send_replace(revision);
+    }
+}
+
+fn own_member(settings: &Settings) -> Member {
+    Member {
+        vm: settings.node.vm.clone(),
+        data_center: settings.node.data_center.clone(),
+        peer_address: settings.listen.peer_advertised,
+        gossip_address: settings.listen.gossip_advertised,
+        admin_address: settings.listen.admin,
+        incarnation: unix_ms(),
+        state: MemberState::Alive,
+    }
+}
+
+async fn receive(service: Arc<MembershipService>, cancel: CancellationToken) {
+    let mut buffer = vec![0; RECEIVE_BUFFER_BYTES];
+    loop {
+        let received = tokio::select! {
+            () = cancel.cancelled() => return,
+            received = service.socket.recv_from(&mut buffer) => received,
+        };
+        // An error here is the ICMP answer to an earlier datagram to a peer that is gone.
+        let Ok((size_bytes, source)) = received else { continue };
+        let now = service.now();
+        let result = service.state.lock().on_datagram(now, &buffer[..size_bytes]);
+        match result {
+            Ok(outgoing) => service.act(outgoing).await,
+            Err(error) => service.refuse_stranger(format!("{source}: {error}")),
+        }
+    }
+}
+
+async fn keep_time(service: Arc<MembershipService>, tick: Duration, cancel: CancellationToken) {
+    let mut interval = tokio::time::interval(tick);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    loop {
+        tokio::select! {
+            () = cancel.cancelled() => return,
+            _ = interval.tick() => {}
+        }
+        let now = service.now();
+        let outgoing = service.state.lock().on_tick(now);
+        service.act(outgoing).await;
+    }
+}
