--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -5,5 +5,10 @@
 
 pub mod context;
 pub mod membership;
+pub mod front;
+pub mod readiness;
+pub mod streams;
+pub mod directory;
+pub mod routing;
 
 pub use context::{ServiceContext, StartError};
