--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -4,6 +4,10 @@
 //! `docs/design/010-packages.md`.
 
 pub mod context;
+pub mod membership;
+pub mod front;
+pub mod readiness;
+pub mod streams;
 pub mod directory;
 pub mod front;
 mod interim;
