Add the event log, structured logs and the admin pages of a node

Cause: a node kept no events, wrote no logs and answered no operator.

Change: event_log keeps the ring under the hybrid logical clock, counts events by kind and logs them (single requests at debug level); its clock gives stamps for messages to peers and takes theirs. logging writes one JSON object a line with time, level, vm, data_center, request_id and message. admin serves /healthz, /readyz, /metrics, /status and /timeline on [listen] admin, bounded in connections, head size and time. fl-protocol gains admin.rs, the shapes of these pages, since filbertctl reads them too.

--- /dev/null
+++ b/crates/fl-node/src/admin.rs
@@ -0,0 +1,125 @@
+//! The admin pages: health, readiness, metrics, status and the time line.
+//!
+//! They have an address of their own, so that callers cannot read them and a flood of callers
+//! cannot hide them. Shapes stand in `fl_protocol::admin`; `docs/OPERATING.md` is the page for
+//! operators.
+
+mod pages;
+mod status;
+
+use crate::context::{ServiceContext, StartError};
+use crate::event_log::{TIME_LINE, TimeLineLog};
+use bytes::Bytes;
+use fl_kernel::Registry;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use socket2::{Domain, Socket, Type};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+/// How often histograms are folded, so that their memory stays bounded between two readings.
+const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// How long a reader may take to send the head of its request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long one connection may stay open.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(60);
+const HEADER_BYTES_MAX: usize = 16 * 1024;
+const BACKLOG_CONNECTIONS: i32 = 128;
+/// Connections that are served at a time; more wait in the backlog.
+const CONNECTIONS_MAX: usize = 64;
+
+/// What the pages read.
+pub(crate) struct AdminState {
+    pub(crate) context: ServiceContext,
+    pub(crate) time_line: Arc<TimeLineLog>,
+    pub(crate) metrics: PrometheusHandle,
+}
+
+impl AdminState {
+    pub(crate) fn registry(&self) -> &Registry {
+        &self.context.registry
+    }
+}
+
+/// Starts to serve the admin pages; needs the time line, and installs the process's metrics
+/// recorder.
+pub fn start(context: &ServiceContext) -> Result<(), StartError> {
+    let address = context.settings.listen.admin;
+    let listener = listen(address)
+        .map_err(|error| StartError::Listen(address.to_string(), error.to_string()))?;
+    let metrics = PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(|error| StartError::Metrics(error.to_string()))?;
+    let time_line = context.registry.find::<TimeLineLog>(TIME_LINE)?;
+    let state = Arc::new(AdminState { context: context.clone(), time_line, metrics });
+    context.tasks.spawn(fold_metrics(state.metrics.clone(), context.cancel.clone()));
+    context.tasks.spawn(accept(listener, state));
+    Ok(())
+}
+
+/// Listens with address reuse, so that a node that is started anew is not kept out by connections
+/// that linger.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG_CONNECTIONS)?;
+    TcpListener::from_std(socket.into())
+}
+
+async fn fold_metrics(metrics: PrometheusHandle, cancel: CancellationToken) {
+    let mut interval = tokio::time::interval(METRICS_UPKEEP_INTERVAL);
+    while cancel.run_until_cancelled(interval.tick()).await.is_some() {
+        metrics.run_upkeep();
+    }
+}
+
+async fn accept(listener: TcpListener, state: Arc<AdminState>) {
+    let cancel = state.context.cancel.clone();
+    let places = Arc::new(tokio::sync::Semaphore::new(CONNECTIONS_MAX));
+    while let Some(Ok(place)) = cancel.run_until_cancelled(places.clone().acquire_owned()).await {
+        let Some(accepted) = cancel.run_until_cancelled(listener.accept()).await else {
+            return;
+        };
+        let Ok((stream, _)) = accepted else {
+            continue;
+        };
+        let state = state.clone();
+        let serving = serve(stream, state.clone());
+        state.context.tasks.spawn(async move {
+            serving.await;
+            drop(place);
+        });
+    }
+}
+
+async fn serve(stream: TcpStream, state: Arc<AdminState>) {
+    let cancel = state.context.cancel.clone();
+    let service = service_fn(move |request| answer(request, state.clone()));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(HEADER_BYTES_MAX)
+        .serve_connection(TokioIo::new(stream), service);
+    let bounded = tokio::time::timeout(CONNECTION_TIMEOUT, connection);
+    if let Some(Ok(Err(error))) = cancel.run_until_cancelled(bounded).await {
+        spdlog::debug!("an admin connection broke: {}", error);
+    }
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    state: Arc<AdminState>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    Ok(pages::answer(request.method(), request.uri(), &state))
+}
--- /dev/null
+++ b/crates/fl-node/src/admin/status.rs
@@ -0,0 +1,70 @@
+//! Gathers the status of the node from its services.
+
+use super::AdminState;
+use fl_kernel::clock::unix_ms;
+use fl_kernel::names;
+use fl_kernel::services::{Backend, ConfigurationSource, Directory, Membership};
+use fl_protocol::admin::{BackendCount, StatusPage};
+use fl_protocol::platform::VmKind;
+use fl_protocol::{ConfigurationVersion, Member};
+
+const KINDS: [VmKind; 2] = [VmKind::Runner, VmKind::Application];
+
+/// Gathers the status.
+pub(super) fn status(state: &AdminState) -> StatusPage {
+    let not_ready_reasons = not_ready_reasons(state);
+    StatusPage {
+        vm: state.context.settings.node.vm.clone(),
+        data_center: state.context.settings.node.data_center.clone(),
+        now_ms: unix_ms(),
+        ready: not_ready_reasons.is_empty(),
+        not_ready_reasons,
+        configuration_version: configuration_version(state).unwrap_or(0),
+        members: members(state),
+        backends: backends(state),
+    }
+}
+
+/// Why the balancer should send no callers here; empty when it should.
+pub(super) fn not_ready_reasons(state: &AdminState) -> Vec<String> {
+    let mut reasons = Vec::new();
+    if state.context.accepting.is_cancelled() {
+        reasons.push("the node is leaving".to_string());
+    }
+    match configuration_version(state) {
+        None => reasons.push("the node is starting".to_string()),
+        Some(0) => {
+            let reason = "no configuration was learned from the platform or a peer yet";
+            reasons.push(reason.to_string());
+        }
+        Some(_) => {}
+    }
+    reasons
+}
+
+fn configuration_version(state: &AdminState) -> Option<ConfigurationVersion> {
+    let found = state.registry().find::<dyn ConfigurationSource>(names::CONFIGURATION);
+    found.ok().map(|source| source.current().version)
+}
+
+fn members(state: &AdminState) -> Vec<Member> {
+    let found = state.registry().find::<dyn Membership>(names::MEMBERSHIP);
+    found.map(|membership| membership.members()).unwrap_or_default()
+}
+
+fn backends(state: &AdminState) -> Vec<BackendCount> {
+    let Ok(directory) = state.registry().find::<dyn Directory>(names::DIRECTORY) else {
+        return Vec::new();
+    };
+    KINDS.map(|kind| count(kind, &directory.backends(kind))).to_vec()
+}
+
+fn count(kind: VmKind, backends: &[Backend]) -> BackendCount {
+    let count = |accepts: fn(&Backend) -> bool| backends.iter().filter(|b| accepts(b)).count();
+    BackendCount {
+        kind,
+        known: backends.len(),
+        healthy: count(|backend| backend.healthy),
+        leaving: count(|backend| backend.leaving_at_ms.is_some() || backend.vm.leaving),
+    }
+}
--- /dev/null
+++ b/crates/fl-node/src/event_log.rs
@@ -0,0 +1,123 @@
+//! The service that keeps the node's part of the time line.
+//!
+//! See `docs/design/020-time-line.md`.
+
+use crate::context::{ServiceContext, StartError};
+use fl_kernel::clock::unix_ms;
+use fl_kernel::names;
+use fl_kernel::services::EventLog;
+use fl_protocol::event::{Event, EventKind, Stamp};
+use fl_protocol::{DataCenterName, RequestId, VmName, request_id_text};
+use fl_timeline::kind::kind_name;
+use fl_timeline::{EventFilter, EventRing, HybridClock, TimeLinePage};
+use parking_lot::Mutex;
+use spdlog::Level;
+use std::sync::Arc;
+
+/// The name under which the [`TimeLineLog`] itself is registered, for its clock and its pages.
+pub const TIME_LINE: &str = "time-line";
+
+/// Events that one node keeps at most; about 10 MB.
+const RING_EVENTS: usize = 32_768;
+
+/// Keeps the newest events of this node and the clock that stamps them.
+pub struct TimeLineLog {
+    vm: VmName,
+    data_center: DataCenterName,
+    state: Mutex<State>,
+}
+
+struct State {
+    clock: HybridClock,
+    ring: EventRing,
+}
+
+/// Starts the service and registers it as [`EventLog`] and as [`TIME_LINE`].
+pub fn start(context: &ServiceContext) -> Result<Arc<TimeLineLog>, StartError> {
+    let node = &context.settings.node;
+    let log = Arc::new(TimeLineLog::new(&node.vm, &node.data_center));
+    context.registry.register(TIME_LINE, log.clone())?;
+    context.registry.register::<dyn EventLog>(names::EVENT_LOG, log.clone())?;
+    Ok(log)
+}
+
+impl TimeLineLog {
+    /// Makes an empty log for a node.
+    pub fn new(vm: &str, data_center: &str) -> Self {
+        let state = State { clock: HybridClock::default(), ring: EventRing::new(RING_EVENTS) };
+        TimeLineLog {
+            vm: vm.to_string(),
+            data_center: data_center.to_string(),
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Gives a stamp for a message to a peer.
+    pub fn stamp(&self) -> Stamp {
+        self.state.lock().clock.tick(unix_ms())
+    }
+
+    /// Takes the stamp of a peer's message, so that events after it are stamped later.
+    pub fn observe(&self, stamp: Stamp) {
+        self.state.lock().clock.observe(stamp, unix_ms());
+    }
+
+    /// The events that a filter lets through, with the node's clock.
+    pub fn page(&self, filter: &EventFilter) -> TimeLinePage {
+        let state = self.state.lock();
+        TimeLinePage {
+            vm: self.vm.clone(),
+            data_center: self.data_center.clone(),
+            clock: state.clock.last(),
+            dropped_events: state.ring.dropped_events(),
+            events: state.ring.select(filter),
+        }
+    }
+
+    fn push(&self, kind: EventKind, request_id: Option<String>, detail: String) {
+        let mut state = self.state.lock();
+        let stamp = state.clock.tick(unix_ms());
+        let vm = self.vm.clone();
+        let data_center = self.data_center.clone();
+        state.ring.push(Event { stamp, vm, data_center, kind, request_id, detail });
+    }
+}
+
+impl EventLog for TimeLineLog {
+    fn record(&self, kind: EventKind, request: Option<RequestId>, detail: String) {
+        let name = kind_name(kind);
+        let request_id = request.map(request_id_text);
+        log_event(level_of(kind), &name, request_id.as_deref(), &detail);
+        metrics::counter!("filbertlead_events_total", "kind" => name).increment(1);
+        self.push(kind, request_id, detail);
+    }
+}
+
+fn log_event(level: Level, name: &str, request_id: Option<&str>, detail: &str) {
+    match request_id {
+        Some(id) => spdlog::log!(level, "{name}: {detail}", kv: { request_id = id }),
+        None => spdlog::log!(level, "{name}: {detail}"),
+    }
+}
+
+/// Events of single requests are many, so they are logged for debugging only.
+fn level_of(kind: EventKind) -> Level {
+    match kind {
+        EventKind::ServerDied
+        | EventKind::Judged
+        | EventKind::OutcomeUnknown
+        | EventKind::GivenUp
+        | EventKind::StrangerRefused
+        | EventKind::PlatformChanged => Level::Warn,
+        EventKind::NodeStarted
+        | EventKind::NodeReady
+        | EventKind::NodeLeaving
+        | EventKind::NodeStopped
+        | EventKind::MemberChanged
+        | EventKind::ConfigurationInForce
+        | EventKind::LeaseChanged
+        | EventKind::OrderGiven
+        | EventKind::VmLeaving => Level::Info,
+        _ => Level::Debug,
+    }
+}
--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -3,6 +3,9 @@
 //! Each module starts one service and registers it under its name; `run` starts them in order. See
 //! `docs/design/010-packages.md`.
 
+pub mod admin;
 pub mod context;
+pub mod event_log;
+pub mod logging;
 
 pub use context::{ServiceContext, StartError};
--- /dev/null
+++ b/crates/fl-node/src/logging.rs
@@ -0,0 +1,117 @@
+//! Structured logs: one JSON object a line, to standard error or a file.
+
+use crate::context::{ServiceContext, StartError};
+use fl_config::settings::LogSettings;
+use fl_protocol::{DataCenterName, UnixMs, VmName};
+use fl_timeline::time::utc_text;
+use serde::{Serialize, Serializer};
+use spdlog::formatter::{Formatter, FormatterContext};
+use spdlog::sink::{FileSink, Sink, StdStreamSink};
+use spdlog::terminal_style::StyleMode;
+use spdlog::{Level, LevelFilter, Logger, Record, StringBuf};
+use std::fmt::{self, Write as _};
+use std::sync::Arc;
+use std::time::UNIX_EPOCH;
+
+/// The key that names the request of a line.
+pub const REQUEST_ID_KEY: &str = "request_id";
+
+/// Makes the process's logger as `[log]` of the settings asks.
+pub fn start(context: &ServiceContext) -> Result<(), StartError> {
+    let node = &context.settings.node;
+    let log = &context.settings.log;
+    let formatter = LineFormatter { vm: node.vm.clone(), data_center: node.data_center.clone() };
+    let logger = make_logger(log, formatter).map_err(|error| StartError::Log(error.to_string()))?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
+
+/// Makes a logger that writes lines of a formatter; every line is flushed, so that none is lost
+/// when the VM goes away.
+pub fn make_logger(log: &LogSettings, formatter: LineFormatter) -> spdlog::Result<Logger> {
+    let sink: Arc<dyn Sink> = if log.file.is_empty() {
+        let sink = StdStreamSink::builder().stderr().style_mode(StyleMode::Never);
+        sink.formatter(formatter).build_arc()?
+    } else {
+        FileSink::builder().path(&log.file).formatter(formatter).build_arc()?
+    };
+    Logger::builder()
+        .sink(sink)
+        .level_filter(LevelFilter::MoreSevereEqual(read_level(&log.level)))
+        .flush_level_filter(LevelFilter::All)
+        .build()
+}
+
+fn read_level(word: &str) -> Level {
+    match word {
+        "error" => Level::Error,
+        "warn" => Level::Warn,
+        "debug" => Level::Debug,
+        _ => Level::Info,
+    }
+}
+
+/// Prints a record as one JSON object that names the node.
+#[derive(Clone)]
+pub struct LineFormatter {
+    /// The node's VM.
+    pub vm: VmName,
+    /// Its data centre.
+    pub data_center: DataCenterName,
+}
+
+#[derive(Serialize)]
+struct LogLine<'a, 'b> {
+    time: String,
+    level: &'a str,
+    vm: &'a str,
+    data_center: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    request_id: Option<String>,
+    message: &'a str,
+    #[serde(flatten)]
+    fields: Fields<'a, 'b>,
+}
+
+/// The other keys of a record, in their order.
+struct Fields<'a, 'b>(&'a Record<'b>);
+
+impl Serialize for Fields<'_, '_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let pairs = self.0.key_values().into_iter();
+        let others = pairs.filter(|(key, _)| key.as_str() != REQUEST_ID_KEY);
+        serializer
+            .collect_map(others.map(|(key, value)| (key.as_str().to_string(), value.to_string())))
+    }
+}
+
+impl Formatter for LineFormatter {
+    fn format(
+        &self,
+        record: &Record,
+        dest: &mut StringBuf,
+        _ctx: &mut FormatterContext,
+    ) -> spdlog::Result<()> {
+        let line = LogLine {
+            time: utc_text(time_ms(record)),
+            level: record.level().as_str(),
+            vm: &self.vm,
+            data_center: &self.data_center,
+            request_id: request_id(record),
+            message: record.payload(),
+            fields: Fields(record),
+        };
+        let text = serde_json::to_string(&line).map_err(|_| fmt::Error);
+        let written = text.and_then(|text| writeln!(dest, "{text}"));
+        written.map_err(spdlog::Error::FormatRecord)
+    }
+}
+
+fn request_id(record: &Record) -> Option<String> {
+    let mut pairs = record.key_values().into_iter();
+    pairs.find(|(key, _)| key.as_str() == REQUEST_ID_KEY).map(|(_, value)| value.to_string())
+}
+
+fn time_ms(record: &Record) -> UnixMs {
+    record.time().duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis() as UnixMs)
+}
--- /dev/null
+++ b/crates/fl-node/tests/admin.rs
@@ -0,0 +1,146 @@
+//! Operators and the balancer read health, readiness, metrics, status and events of a node.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic as tests do")]
+
+use fl_config::Settings;
+use fl_kernel::names;
+use fl_kernel::services::{ConfigurationSource, EventLog};
+use fl_node::{ServiceContext, admin, event_log};
+use fl_platform::http::build;
+use fl_platform::{HttpClient, HttpError, Reuse};
+use fl_protocol::admin::StatusPage;
+use fl_protocol::event::{EventKind, Stamp};
+use fl_protocol::{Configuration, request_id_text};
+use fl_timeline::TimeLinePage;
+use http::Method;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+const DAY_MS: u64 = 86_400_000;
+
+struct OneConfiguration(watch::Sender<Arc<Configuration>>);
+
+impl ConfigurationSource for OneConfiguration {
+    fn current(&self) -> Arc<Configuration> {
+        self.0.borrow().clone()
+    }
+
+    fn subscribe(&self) -> watch::Receiver<Arc<Configuration>> {
+        self.0.subscribe()
+    }
+
+    fn offer(&self, configuration: Configuration) -> bool {
+        self.0.send_replace(Arc::new(configuration));
+        true
+    }
+}
+
+fn context() -> ServiceContext {
+    let [a, b, c]: [u8; 3] = rand::random();
+    let ip = format!("127.{a}.{b}.{}", c.clamp(1, 254));
+    let key = "07".repeat(32);
+    let text = format!(
+        "[node]\nvm = a1\ndata_center = dc-a\nregion = r\n[listen]\ncallers = {ip}:1\n\
+         peer = {ip}:2\ngossip = {ip}:3\nadmin = {ip}:9090\n[platform]\ntable = {ip}:4\n\
+         objects = {ip}:5\nvm_list = {ip}:6\ncloud = {ip}:7\nweights = {ip}:8\n\
+         [fleet]\nkey_hex = {key}\n"
+    );
+    let node = fl_kernel::Node::new();
+    ServiceContext {
+        settings: Arc::new(Settings::read(&text).unwrap()),
+        registry: node.registry(),
+        accepting: node.accepting(),
+        cancel: node.cancel(),
+        tasks: node.tasks(),
+    }
+}
+
+struct Reader {
+    client: HttpClient,
+    root: String,
+}
+
+impl Reader {
+    async fn status_and_body(&self, method: Method, path: &str) -> (u16, String) {
+        let uri = format!("{}{path}", self.root);
+        let request = build(method, &uri, bytes::Bytes::new()).unwrap_or_default();
+        let reply = self.client.fetch(request, TIMEOUT).await;
+        let reply = reply.unwrap();
+        (reply.status.as_u16(), String::from_utf8_lossy(&reply.body).into_owned())
+    }
+
+    async fn get(&self, path: &str) -> (u16, String) {
+        self.status_and_body(Method::GET, path).await
+    }
+
+    async fn events(&self, query: &str) -> Result<TimeLinePage, HttpError> {
+        self.client.get_json(&format!("{}/timeline{query}", self.root), TIMEOUT).await
+    }
+}
+
+/// One test, since the metrics recorder is one a process.
+#[tokio::test]
+async fn admin_pages() {
+    let context = context();
+    let log = event_log::start(&context).unwrap();
+    admin::start(&context).unwrap();
+    let root = format!("http://{}", context.settings.listen.admin);
+    let reader = Reader { client: HttpClient::new(Reuse::Pooled), root };
+
+    // Health and errors.
+    assert_eq!(reader.get("/healthz").await, (200, "ok\n".to_string()));
+    for (path, status) in [
+        ("/nothing", 404),
+        ("/timeline?request=12", 400),
+        ("/timeline?since_ms=soon", 400),
+        ("/timeline?until=1", 400),
+    ] {
+        assert_eq!(reader.get(path).await.0, status, "{path}");
+    }
+    assert_eq!(reader.status_and_body(Method::POST, "/status").await.0, 405);
+
+    // Readiness follows the configuration and the end of accepting.
+    assert_eq!(reader.get("/readyz").await, (503, "the node is starting\n".to_string()));
+    let source = Arc::new(OneConfiguration(watch::Sender::new(Arc::default())));
+    context
+        .registry
+        .register::<dyn ConfigurationSource>(names::CONFIGURATION, source.clone())
+        .unwrap();
+    assert!(reader.get("/readyz").await.1.starts_with("no configuration was learned"));
+    source.offer(Configuration { version: 4, ..Configuration::default() });
+    assert_eq!(reader.get("/readyz").await.0, 200);
+    let (_, body) = reader.get("/status").await;
+    let status: StatusPage = serde_json::from_str(&body).unwrap();
+    assert_eq!((status.ready, status.configuration_version), (true, 4));
+
+    // Events, by request and by time, in the order of peers' stamps.
+    let events: Arc<dyn EventLog> = context.registry.find(names::EVENT_LOG).unwrap();
+    events.record(EventKind::Accepted, Some(7), "first".to_string());
+    let ahead_ms = log.stamp().time_ms + 30_000;
+    log.observe(Stamp { time_ms: ahead_ms, counter: 5 });
+    events.record(EventKind::Whole, Some(8), "second".to_string());
+    let all = reader.events("").await.unwrap();
+    assert_eq!(all.events.len(), 2);
+    assert!(all.events[1].stamp > Stamp { time_ms: ahead_ms, counter: 5 });
+    let query = format!("?request={}", request_id_text(7));
+    assert_eq!(reader.events(&query).await.unwrap().events[0].detail, "first");
+    let query = format!("?since_ms={ahead_ms}");
+    assert_eq!(reader.events(&query).await.unwrap().events[0].detail, "second");
+    let query = format!("?since_ms={}", ahead_ms + DAY_MS);
+    assert!(reader.events(&query).await.unwrap().events.is_empty());
+
+    // Metrics count events by kind.
+    let (_, metrics) = reader.get("/metrics").await;
+    assert!(metrics.contains("filbertlead_events_total{kind=\"accepted\"} 1"), "{metrics}");
+
+    // A leaving node says so and still answers until its tasks end.
+    context.accepting.cancel();
+    assert_eq!(reader.get("/readyz").await, (503, "the node is leaving\n".to_string()));
+    context.cancel.cancel();
+    context.tasks.close();
+    context.tasks.wait().await;
+    let request = build(Method::GET, &format!("{}/healthz", reader.root), bytes::Bytes::new());
+    assert!(reader.client.fetch(request.unwrap(), TIMEOUT).await.is_err());
+}
--- a/crates/fl-protocol/src/lib.rs
+++ b/crates/fl-protocol/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every other package depends on this one and it depends on none of them, so that a decision, a
 //! service and the command line speak of the same things. See `docs/design/010-packages.md`.
 
+pub mod admin;
 pub mod call;
 pub mod chat;
 pub mod configuration;
