Accept configurations through the platform and spread them among peers

Cause: a configuration must be in force everywhere within seconds, never revert, and two operators must not overwrite each other, with no service but the platform's table and object store.

Change: `ConfigurationStore::push` stores the body by its digest, then moves the head row from its parent's revision in one conditional transaction that also writes a row for the version. After a lost answer it sends the same transaction again and reads that row back by its nonce, because an unchanged head proves nothing while the first write may still be on its way. Two nodes of each data centre (by rendezvous hashing) poll the head every second, the others every 15 s, both with jitter; versions ride on heartbeats and are fetched from peers; only a higher version is applied.

Left: spread among processes, and the time from push to the last node.

--- /dev/null
+++ b/crates/fl-node/src/configuration/poll.rs
@@ -0,0 +1,119 @@
+//! The two ways by which a higher version arrives.
+
+use super::ConfigurationService;
+use crate::context::ServiceContext;
+use crate::membership::{MEMBERSHIP_SERVICE, MembershipService};
+use fl_kernel::names;
+use fl_kernel::services::{Membership, Peers};
+use fl_platform::ConfigurationStore;
+use fl_protocol::event::EventKind;
+use fl_protocol::rendezvous::sort_by_rank;
+use fl_protocol::{Member, MemberState};
+use rand::seq::SliceRandom;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Nodes of each data centre that poll the head often.
+const FAST_POLLERS: usize = 2;
+/// Time between two polls of a node that polls often, before jitter.
+const FAST_POLL: Duration = Duration::from_millis(1000);
+/// Time between two polls of any other node, before jitter.
+const SLOW_POLL: Duration = Duration::from_secs(15);
+/// Time between two looks at the versions that peers' heartbeats carry.
+const PEER_LOOK: Duration = Duration::from_millis(100);
+/// Peers that are asked in turn before the next look.
+const PEERS_ASKED: usize = 2;
+/// The rendezvous key by which a data centre agrees on its pollers.
+const POLLER_KEY: &[u8] = b"configuration-poller";
+
+/// Polls the head row, with jitter so that the nodes' reads spread over time.
+pub(super) async fn follow_platform(
+    context: ServiceContext,
+    service: Arc<ConfigurationService>,
+    store: ConfigurationStore,
+) {
+    let mut answering = true;
+    loop {
+        let result = tokio::select! {
+            () = context.cancel.cancelled() => return,
+            result = read_newer(&service, &store) => result,
+        };
+        if result.is_ok() != answering {
+            answering = result.is_ok();
+            let detail = result.err().unwrap_or_else(|| "the platform answers again".to_string());
+            service.record(EventKind::PlatformChanged, detail);
+        }
+        let pause = poll_interval(&context, &service).mul_f64(rand::random_range(0.75..1.25));
+        tokio::select! {
+            () = context.cancel.cancelled() => return,
+            () = tokio::time::sleep(pause) => {}
+        }
+    }
+}
+
+async fn read_newer(
+    service: &ConfigurationService,
+    store: &ConfigurationStore,
+) -> Result<(), String> {
+    let head = store.head().await.map_err(|error| error.to_string())?;
+    if head.version > service.version() {
+        let configuration = store.body(&head).await.map_err(|error| error.to_string())?;
+        service.apply(configuration, "the platform");
+    }
+    Ok(())
+}
+
+fn poll_interval(context: &ServiceContext, service: &ConfigurationService) -> Duration {
+    let starting = service.version() == 0;
+    if starting || is_fast_poller(context) { FAST_POLL } else { SLOW_POLL }
+}
+
+/// The nodes of a data centre choose the same pollers from the same members, without a message.
+fn is_fast_poller(context: &ServiceContext) -> bool {
+    let Ok(membership) = context.registry.find::<dyn Membership>(names::MEMBERSHIP) else {
+        return true;
+    };
+    let own = &context.settings.node;
+    let mut near: Vec<Member> = membership
+        .members()
+        .into_iter()
+        .filter(|member| member.data_center == own.data_center)
+        .filter(|member| member.state == MemberState::Alive || member.vm == own.vm)
+        .collect();
+    sort_by_rank(&mut near, POLLER_KEY, |member| &member.vm);
+    near.iter().take(FAST_POLLERS).any(|member| member.vm == own.vm)
+}
+
+/// Fetches the body from a peer as soon as a heartbeat carries a higher version.
+pub(super) async fn follow_peers(context: ServiceContext, service: Arc<ConfigurationService>) {
+    let mut ticks = tokio::time::interval(PEER_LOOK);
+    loop {
+        tokio::select! {
+            () = context.cancel.cancelled() => return,
+            _ = ticks.tick() => {}
+        }
+        fetch_newer(&context, &service).await;
+    }
+}
+
+async fn fetch_newer(context: &ServiceContext, service: &ConfigurationService) {
+    let Ok(membership) = context.registry.find::<MembershipService>(MEMBERSHIP_SERVICE) else {
+        return;
+    };
+    let Ok(peers) = context.registry.find::<dyn Peers>(names::PEERS) else { return };
+    let Some(mut hint) = membership.configuration_hint() else { return };
+    let own_data_center = &context.settings.node.data_center;
+    hint.members.shuffle(&mut rand::rng());
+    hint.members.sort_by_key(|member| member.data_center != *own_data_center);
+    for member in hint.members.iter().take(PEERS_ASKED) {
+        let fetch = peers.fetch_configuration(member, service.version());
+        let answer = tokio::select! {
+            () = context.cancel.cancelled() => return,
+            answer = fetch => answer,
+        };
+        if let Ok(Some(configuration)) = answer {
+            service.apply(configuration, &member.vm);
+            return;
+        }
+    }
+}
--- a/crates/fl-node/src/membership.rs
+++ b/crates/fl-node/src/membership.rs
@@ -19,6 +19,8 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+/// The name under which the service itself is registered, for services that ride on heartbeats.
+pub const MEMBERSHIP_SERVICE: &str = "membership-service";
 /// Ticks in one heartbeat, so that a probe without an answer is noticed early.
 const TICKS_PER_HEARTBEAT: u32 = 10;
 /// The shortest time between two ticks.
@@ -58,9 +60,10 @@
         registry: context.registry.clone(),
     });
     context.registry.register::<dyn Membership>(names::MEMBERSHIP, service.clone())?;
+    context.registry.register::<MembershipService>(MEMBERSHIP_SERVICE, service.clone())?;
     let tick = (settings.membership.heartbeat / TICKS_PER_HEARTBEAT).max(MIN_TICK);
-    context.tasks.spawn(receive(service.clone(), context.cancel.clone()));
-    context.tasks.spawn(keep_time(service.clone(), tick, context.cancel.clone()));
+    context.spawn(receive(service.clone(), context.cancel.clone()));
+    context.spawn(keep_time(service.clone(), tick, context.cancel.clone()));
     Ok(service)
 }
 
--- /dev/null
+++ b/crates/fl-node/tests/configuration.rs
@@ -0,0 +1,84 @@
+//! The configuration in force at one node: never an older one, and none without a source.
+
+#![allow(clippy::unwrap_used)]
+
+use fl_config::Settings;
+use fl_kernel::Node;
+use fl_kernel::services::ConfigurationSource;
+use fl_node::{ServiceContext, configuration};
+use fl_platform::ConfigurationStore;
+use fl_protocol::Configuration;
+use fl_standins::{Objects, ObjectsFaults, Outage, Table, TableFaults, TableOptions};
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn context(table: SocketAddr, objects: SocketAddr) -> ServiceContext {
+    let key = "07".repeat(32);
+    let ip = "127.0.0.1";
+    let text = format!(
+        "[node]\nvm = a1\ndata_center = dc-a\nregion = r\n[listen]\ncallers = {ip}:1\n\
+         peer = {ip}:2\ngossip = {ip}:3\nadmin = {ip}:9090\n[platform]\ntable = {table}\n\
+         objects = {objects}\nvm_list = {ip}:6\ncloud = {ip}:7\nweights = {ip}:8\n\
+         request_timeout_ms = 300\n[fleet]\nkey_hex = {key}\n"
+    );
+    let node = Node::new();
+    ServiceContext {
+        runtime: tokio::runtime::Handle::current(),
+        settings: Arc::new(Settings::read(&text).unwrap()),
+        registry: node.registry(),
+        accepting: node.accepting(),
+        cancel: node.cancel(),
+        tasks: node.tasks(),
+    }
+}
+
+async fn wait_for(source: &dyn ConfigurationSource, version: u64) {
+    let mut changes = source.subscribe();
+    let arrived = changes.wait_for(|current| current.version == version);
+    tokio::time::timeout(LIMIT, arrived).await.unwrap().unwrap();
+}
+
+#[rstest]
+#[case::refused(Outage::Unavailable, Outage::None)]
+#[case::frozen(Outage::Frozen, Outage::None)]
+#[case::body_refused(Outage::None, Outage::Unavailable)]
+#[case::body_frozen(Outage::None, Outage::Frozen)]
+#[tokio::test]
+async fn outage_outlived(#[case] table_outage: Outage, #[case] objects_outage: Outage) {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let table = Table::start(any, TableOptions::default()).await.unwrap();
+    let objects = Objects::start(any).await.unwrap();
+    let store = ConfigurationStore::new(table.address(), objects.address(), LIMIT);
+    let source = configuration::start(&context(table.address(), objects.address())).unwrap();
+    assert_eq!(source.current().version, 0);
+    let push = async |parent_version: u64| {
+        let pushed = Configuration { parent_version, ..Configuration::default() };
+        store.push(&pushed, &parent_version.to_string(), LIMIT).await.unwrap();
+    };
+    push(0).await;
+    wait_for(source.as_ref(), 1).await;
+    push(1).await;
+    table.set_faults(TableFaults { outage: table_outage, ..TableFaults::default() });
+    objects.set_faults(ObjectsFaults { outage: objects_outage, ..ObjectsFaults::default() });
+    assert!(source.current().version >= 1);
+    table.set_faults(TableFaults::default());
+    objects.set_faults(ObjectsFaults::default());
+    wait_for(source.as_ref(), 2).await;
+}
+
+#[tokio::test]
+async fn older_refused() {
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
+    let source = configuration::start(&context(nobody, nobody)).unwrap();
+    let mut highest = 0;
+    for version in [3, 1, 3, 2, 7, 6, 7, 8, 0] {
+        let offered = Configuration { version, ..Configuration::default() };
+        assert_eq!(source.offer(offered), version > highest);
+        highest = highest.max(version);
+        assert_eq!(source.current().version, highest);
+    }
+}
--- a/crates/fl-platform/src/lib.rs
+++ b/crates/fl-platform/src/lib.rs
@@ -3,11 +3,15 @@
 //! Every client speaks the published protocol of `fl_protocol::platform` or
 //! `fl_protocol::engine` and never repeats a call by itself; repeating is the caller's decision.
 
+pub mod configuration_store;
 pub mod engine;
 pub mod engine_reports;
 pub mod http;
+pub mod objects;
+mod rows;
 pub mod vm_list;
 
+pub use configuration_store::{ConfigurationStore, Head, PushError};
 pub use engine_reports::EngineReports;
 pub use http::{HttpClient, HttpError, Reuse};
 pub use vm_list::VmListClient;
--- /dev/null
+++ b/crates/fl-platform/src/rows.rs
@@ -0,0 +1,47 @@
+//! The two calls of the table service that agreement needs.
+
+use crate::http::{HttpClient, HttpError};
+use fl_protocol::platform::{Row, Transaction, TransactionAnswer};
+use http::Method;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const NOT_FOUND: u16 = 404;
+
+/// Reads a row; `None` when there is no such row.
+pub(crate) async fn read_row(
+    http: &HttpClient,
+    table_service: SocketAddr,
+    table: &str,
+    key: &str,
+    timeout: Duration,
+) -> Result<Option<Row>, HttpError> {
+    let uri = format!("http://{table_service}/v1/rows/{table}/{key}");
+    match http.get_json(&uri, timeout).await {
+        Ok(row) => Ok(Some(row)),
+        Err(HttpError::Status(_, NOT_FOUND, _)) => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
+/// Sends a transaction once.
+pub(crate) async fn transact(
+    http: &HttpClient,
+    table_service: SocketAddr,
+    transaction: &Transaction,
+    timeout: Duration,
+) -> Result<TransactionAnswer, HttpError> {
+    let uri = format!("http://{table_service}/v1/transactions");
+    http.send_json(Method::POST, &uri, transaction, timeout).await
+}
+
+/// Says whether a failed transaction is certain to have had no effect.
+pub(crate) fn had_no_effect(error: &HttpError) -> bool {
+    const TOO_MANY_REQUESTS: u16 = 429;
+    const UNAVAILABLE: u16 = 503;
+    match error {
+        HttpError::NotConnected(_) => true,
+        HttpError::Status(_, status, _) => matches!(*status, TOO_MANY_REQUESTS | UNAVAILABLE),
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/fl-platform/tests/configuration_store.rs
@@ -0,0 +1,146 @@
+//! Pushes of configurations: conflicts, races, lost answers and outages.
+
+#![allow(clippy::unwrap_used)]
+
+use fl_platform::{ConfigurationStore, PushError};
+use fl_protocol::Configuration;
+use fl_standins::{
+    Objects, ObjectsFaults, ObjectsHandle, Outage, Table, TableFaults, TableHandle, TableOptions,
+};
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const TIMEOUT: Duration = Duration::from_millis(300);
+const PATIENCE: Duration = Duration::from_secs(20);
+const LITTLE_PATIENCE: Duration = Duration::from_millis(600);
+
+struct Platform {
+    table: TableHandle,
+    objects: ObjectsHandle,
+}
+
+impl Platform {
+    async fn start() -> Platform {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let table = Table::start(any, TableOptions::default()).await.unwrap();
+        Platform { table, objects: Objects::start(any).await.unwrap() }
+    }
+
+    fn store(&self) -> ConfigurationStore {
+        ConfigurationStore::new(self.table.address(), self.objects.address(), TIMEOUT)
+    }
+}
+
+fn configuration(operator: &str, parent_version: u64) -> Configuration {
+    let operator = operator.to_string();
+    Configuration { operator, parent_version, ..Configuration::default() }
+}
+
+async fn push(platform: &Platform, operator: &str, parent: u64) -> Result<u64, PushError> {
+    let nonce = format!("{operator}-{parent}-{}", rand::random::<u64>());
+    let pushed = configuration(operator, parent);
+    platform.store().push(&pushed, &nonce, PATIENCE).await.map(|head| head.version)
+}
+
+#[tokio::test]
+async fn read_after_push() {
+    let platform = Platform::start().await;
+    assert_eq!(push(&platform, "ana", 0).await, Ok(1));
+    let head = platform.store().head().await.unwrap();
+    let body = platform.store().body(&head).await.unwrap();
+    assert_eq!((body.version, body.operator.as_str()), (1, "ana"));
+}
+
+#[tokio::test]
+async fn stale_parent_told() {
+    let platform = Platform::start().await;
+    push(&platform, "ana", 0).await.unwrap();
+    push(&platform, "boris", 1).await.unwrap();
+    let expected = PushError::Conflict { version: 2, operator: "boris".to_string() };
+    assert_eq!(push(&platform, "ana", 1).await, Err(expected));
+}
+
+#[rstest]
+#[case::one_lost(TableFaults { lose_answers: 1, ..TableFaults::default() }, ObjectsFaults::default())]
+#[case::three_lost(TableFaults { lose_answers: 3, ..TableFaults::default() }, ObjectsFaults::default())]
+#[case::dropped(TableFaults { lose_transactions: 2, ..TableFaults::default() }, ObjectsFaults::default())]
+#[case::body_lost(TableFaults::default(), ObjectsFaults { lose_answers: 2, ..ObjectsFaults::default() })]
+#[case::both(
+    TableFaults { lose_answers: 1, lose_transactions: 1, ..TableFaults::default() },
+    ObjectsFaults { lose_answers: 1, ..ObjectsFaults::default() }
+)]
+#[tokio::test]
+async fn lost_answers(#[case] table: TableFaults, #[case] objects: ObjectsFaults) {
+    let platform = Platform::start().await;
+    platform.table.set_faults(table);
+    platform.objects.set_faults(objects);
+    assert_eq!(push(&platform, "ana", 0).await, Ok(1));
+    assert_eq!(platform.table.counters().commits, 1);
+}
+
+#[tokio::test]
+async fn lost_then_built_on() {
+    let platform = Platform::start().await;
+    let slow = TableFaults { slow_after_effect_ms: 700, ..TableFaults::default() };
+    platform.table.set_faults(slow);
+    let first = push(&platform, "ana", 0);
+    let second = async {
+        while platform.store().head().await.unwrap().version == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        platform.table.set_faults(TableFaults::default());
+        push(&platform, "boris", 1).await
+    };
+    let (first, second) = tokio::join!(first, second);
+    assert_eq!((first, second), (Ok(1), Ok(2)));
+}
+
+#[rstest]
+#[case::table_out(TableFaults { outage: Outage::Unavailable, ..TableFaults::default() }, ObjectsFaults::default())]
+#[case::table_frozen(TableFaults { outage: Outage::Frozen, ..TableFaults::default() }, ObjectsFaults::default())]
+#[case::objects_out(TableFaults::default(), ObjectsFaults { outage: Outage::Unavailable, ..ObjectsFaults::default() })]
+#[tokio::test]
+async fn outage_refuses(#[case] table: TableFaults, #[case] objects: ObjectsFaults) {
+    let platform = Platform::start().await;
+    platform.table.set_faults(table);
+    platform.objects.set_faults(objects);
+    let pushed = configuration("ana", 0);
+    let result = platform.store().push(&pushed, "nonce", LITTLE_PATIENCE).await;
+    assert!(matches!(result, Err(PushError::Unavailable(_))), "{result:?}");
+    assert_eq!(platform.table.counters().commits, 0);
+}
+
+#[tokio::test]
+async fn unknown_said() {
+    let platform = Platform::start().await;
+    let store = platform.store();
+    let all = TableFaults { lose_all_answers: true, reads_per_s: 1, ..TableFaults::default() };
+    platform.table.set_faults(all);
+    let pushed = configuration("ana", 0);
+    let result = store.push(&pushed, "nonce", LITTLE_PATIENCE).await;
+    assert!(matches!(result, Err(PushError::Unknown(_))), "{result:?}");
+}
+
+#[tokio::test]
+async fn race_has_one_winner() {
+    let platform = Platform::start().await;
+    for round in 0..40u64 {
+        let seed = rand::random::<u64>();
+        println!("round {round} seed {seed:x}");
+        let faults = TableFaults {
+            lose_answers: seed % 3,
+            lose_transactions: (seed >> 8) % 2,
+            slow_ms: (seed >> 16) % 3,
+            ..TableFaults::default()
+        };
+        platform.table.set_faults(faults);
+        let (ana, boris) =
+            tokio::join!(push(&platform, "ana", round), push(&platform, "boris", round));
+        let head = platform.store().head().await.unwrap();
+        let (winner, loser) = if ana.is_ok() { (ana, boris) } else { (boris, ana) };
+        assert_eq!(winner, Ok(round + 1));
+        let told = PushError::Conflict { version: round + 1, operator: head.operator };
+        assert_eq!(loser, Err(told));
+    }
+}
