Serve a streamed call end to end as separate processes

Cause: everything else is proved on the whole path. Change: the testbed (stand-ins in the test, nodes as processes, relays that can be cut) and two tests: a stream over six nodes in three data centres, and the same with its owner killed in mid-stream. The first run failed, 503 no-backend: stand-in engines that were given no model report none, so the testbed now names it. Conclusion: acceptance, guardian, take-over and resume work for one fault; configuration, admission, quarantine and ledger are still provisional.

--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -5,15 +5,12 @@
 
 pub mod admin;
 pub mod context;
-pub mod membership;
-pub mod event_log;
-pub mod logging;
-pub mod front;
-pub mod readiness;
-pub mod streams;
 pub mod directory;
+pub mod event_log;
 pub mod front;
 mod interim;
+pub mod logging;
+pub mod membership;
 pub mod options;
 pub mod readiness;
 pub mod routing;
--- a/crates/fl-node/src/run.rs
+++ b/crates/fl-node/src/run.rs
@@ -5,7 +5,7 @@
 use crate::options::NodeOptions;
 use crate::readiness::{READINESS, Readiness};
 use crate::streams::{self, Streams};
-use crate::{directory, interim, routing};
+use crate::{admin, directory, event_log, interim, logging, membership, routing};
 use fl_config::Settings;
 use fl_kernel::clock::unix_ms;
 use fl_kernel::names;
@@ -74,13 +74,17 @@
     context: &ServiceContext,
     readiness: Arc<Readiness>,
 ) -> Result<Arc<Streams>, StartError> {
+    logging::start(context)?;
+    event_log::start(context)?;
     interim::start(context)?;
+    membership::start(context).await?;
     directory::start(context)?;
     routing::start(context)?;
     let streams = streams::start(context)?;
     streams::start_peers(context, streams.clone())?;
     streams.watch()?;
     front::start(context, streams.clone(), readiness).await?;
+    admin::start(context)?;
     Ok(streams)
 }
 
--- /dev/null
+++ b/crates/fl-testbed/src/caller.rs
@@ -0,0 +1,262 @@
+//! Callers as tests need them: they read streams event by event and reconnect as told.
+
+use crate::bed::{Testbed, WORKSPACE, WORKSPACE_KEY};
+use bytes::Bytes;
+use fl_platform::http::Reply;
+use fl_platform::{HttpClient, HttpError, Reuse};
+use fl_protocol::chat::{
+    CHAT_PATH, ChatChunk, ChatMessage, ChatRequest, END_MARKER, IDEMPOTENCY_KEY_HEADER,
+    LAST_EVENT_ID_HEADER, MOVED_EVENT, PROBLEM_EVENT, REQUEST_ID_HEADER, REQUESTS_PATH,
+    RESTART_EVENT, SERVICES_PATH,
+};
+use fl_protocol::engine::stand_in_token;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(60);
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+const GUARD: Duration = Duration::from_secs(90);
+
+/// One event of a stream, as its caller sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallerEvent {
+    /// A token with its event id.
+    Token {
+        /// The event id.
+        event_id: String,
+        /// The text.
+        text: String,
+    },
+    /// What came before has to be dropped.
+    Restart,
+    /// The request goes on elsewhere.
+    Moved,
+    /// The final answer is a problem body in JSON.
+    Problem(String),
+    /// The end marker.
+    End,
+    /// The connection ended without any of these.
+    Cut,
+}
+
+/// How a call ended for its caller.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Outcome {
+    /// The request id.
+    pub request_id: String,
+    /// The text.
+    pub text: String,
+    /// Whether the end marker came.
+    pub whole: bool,
+    /// The problem body, if the final answer was one.
+    pub problem_json: Option<String>,
+    /// Connections it took.
+    pub connections: u32,
+    /// Times the text was dropped.
+    pub restarts: u32,
+}
+
+/// One connection of a streamed answer.
+pub struct ChatStream {
+    /// The request id of the first header bytes.
+    pub request_id: String,
+    body: Incoming,
+    buffer: Vec<u8>,
+}
+
+impl ChatStream {
+    /// Waits for the next event.
+    pub async fn next(&mut self) -> CallerEvent {
+        loop {
+            if let Some(event) = self.take_event() {
+                return event;
+            }
+            match tokio::time::timeout(CALL_TIMEOUT, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.buffer.extend_from_slice(data);
+                    }
+                }
+                _ => return CallerEvent::Cut,
+            }
+        }
+    }
+
+    fn take_event(&mut self) -> Option<CallerEvent> {
+        loop {
+            let end = self.buffer.windows(2).position(|window| window == b"\n\n")?;
+            let event: Vec<u8> = self.buffer.drain(..end + 2).collect();
+            let text = String::from_utf8(event).unwrap();
+            if !text.starts_with(':') {
+                return Some(read_event(&text));
+            }
+        }
+    }
+}
+
+fn read_event(text: &str) -> CallerEvent {
+    let field = |name: &str| text.lines().find_map(|line| line.strip_prefix(name));
+    let data = field("data: ").unwrap_or_default();
+    match field("event: ") {
+        Some(RESTART_EVENT) => return CallerEvent::Restart,
+        Some(MOVED_EVENT) => return CallerEvent::Moved,
+        Some(PROBLEM_EVENT) => return CallerEvent::Problem(data.to_string()),
+        _ => {}
+    }
+    if data == END_MARKER {
+        return CallerEvent::End;
+    }
+    let chunk: ChatChunk = serde_json::from_str(data).unwrap();
+    let event_id = field("id: ").unwrap().to_string();
+    CallerEvent::Token { event_id, text: chunk.choices[0].delta.content.clone() }
+}
+
+/// The call that tests send.
+pub fn chat(prompt: &str, max_tokens: u64) -> ChatRequest {
+    ChatRequest {
+        model: "fit".to_string(),
+        messages: vec![ChatMessage { role: "user".to_string(), content: prompt.to_string() }],
+        stream: true,
+        max_tokens,
+    }
+}
+
+/// The answer that the stand-in engines give to [`chat`].
+pub fn expected_answer(prompt: &str, max_tokens: u64) -> String {
+    let text = chat(prompt, max_tokens).prompt_text();
+    (0..max_tokens).map(|offset| stand_in_token(&text, offset)).collect()
+}
+
+/// A request of the default workspace.
+pub fn request(method: Method, address: SocketAddr, path: &str) -> http::request::Builder {
+    Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header("x-workspace", WORKSPACE)
+        .header("authorization", format!("Bearer {WORKSPACE_KEY}"))
+}
+
+impl Testbed {
+    /// Opens a streamed call at a node; a refusal gives the whole reply.
+    pub async fn open(
+        &self,
+        node: usize,
+        chat: &ChatRequest,
+        class: &str,
+        key: Option<&str>,
+    ) -> Result<ChatStream, Result<Reply, HttpError>> {
+        let mut builder = request(Method::POST, self.nodes[node].callers, CHAT_PATH);
+        builder = builder.header("x-class", class);
+        if let Some(key) = key {
+            builder = builder.header(IDEMPOTENCY_KEY_HEADER, key);
+        }
+        let body = Bytes::from(serde_json::to_vec(chat).unwrap());
+        open_stream(builder.body(Full::new(body)).unwrap()).await
+    }
+
+    /// Reconnects to a request at a node.
+    pub async fn reopen(
+        &self,
+        node: usize,
+        request_id: &str,
+        last_event_id: Option<&str>,
+    ) -> Result<ChatStream, Result<Reply, HttpError>> {
+        let path = format!("{REQUESTS_PATH}{request_id}");
+        let mut builder = request(Method::GET, self.nodes[node].callers, &path);
+        if let Some(event_id) = last_event_id {
+            builder = builder.header(LAST_EVENT_ID_HEADER, event_id);
+        }
+        open_stream(builder.body(Full::new(Bytes::new())).unwrap()).await
+    }
+
+    /// Carries a stream to its end, reconnecting to the nodes given in turn.
+    pub async fn finish(&self, first: ChatStream, nodes: &[usize]) -> Outcome {
+        let mut outcome =
+            Outcome { request_id: first.request_id.clone(), connections: 1, ..Outcome::default() };
+        let mut stream = first;
+        let mut last_event_id: Option<String> = None;
+        let begun = Instant::now();
+        let mut turn = 0;
+        loop {
+            match stream.next().await {
+                CallerEvent::Token { event_id, text } => {
+                    outcome.text.push_str(&text);
+                    last_event_id = Some(event_id);
+                    continue;
+                }
+                CallerEvent::Restart => {
+                    outcome.text.clear();
+                    outcome.restarts += 1;
+                    continue;
+                }
+                CallerEvent::End => {
+                    outcome.whole = true;
+                    return outcome;
+                }
+                CallerEvent::Problem(problem_json) => {
+                    outcome.problem_json = Some(problem_json);
+                    return outcome;
+                }
+                CallerEvent::Moved | CallerEvent::Cut => {}
+            }
+            stream = loop {
+                if begun.elapsed() > GUARD {
+                    return outcome;
+                }
+                let node = nodes[turn % nodes.len()];
+                turn += 1;
+                let event_id = last_event_id.as_deref();
+                match self.reopen(node, &outcome.request_id, event_id).await {
+                    Ok(stream) => break stream,
+                    Err(_) => tokio::time::sleep(RECONNECT_PAUSE).await,
+                }
+            };
+            outcome.connections += 1;
+        }
+    }
+
+    /// Calls a plain service at a node.
+    pub async fn call_service(
+        &self,
+        node: usize,
+        method: Method,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Result<Reply, HttpError> {
+        let path = format!("{SERVICES_PATH}{path}");
+        let mut builder = request(method, self.nodes[node].callers, &path);
+        if let Some(key) = key {
+            builder = builder.header(IDEMPOTENCY_KEY_HEADER, key);
+        }
+        let request = builder.body(Full::new(Bytes::from(body.to_string()))).unwrap();
+        HttpClient::new(Reuse::Never).fetch(request, CALL_TIMEOUT).await
+    }
+}
+
+/// Opens a stream; anything but an event stream is a refusal.
+pub async fn open_stream(
+    request: Request<Full<Bytes>>,
+) -> Result<ChatStream, Result<Reply, HttpError>> {
+    let http = HttpClient::new(Reuse::Never);
+    let response = http.send(request, CALL_TIMEOUT).await.map_err(Err)?;
+    let (head, body) = response.into_parts();
+    if head.status != StatusCode::OK {
+        let body = body.collect().await.map(|whole| whole.to_bytes()).unwrap_or_default();
+        return Err(Ok(Reply { status: head.status, headers: head.headers, body }));
+    }
+    let id = head.headers.get(REQUEST_ID_HEADER).and_then(|value| value.to_str().ok());
+    Ok(ChatStream { request_id: id.unwrap_or_default().to_string(), body, buffer: Vec::new() })
+}
+
+/// Polls a condition until it holds; panics after a guard time that only a hang reaches.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds().await {
+        assert!(begun.elapsed() < GUARD, "never came true: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/crates/fl-testbed/src/lib.rs
@@ -0,0 +1,17 @@
+//! Node processes, stand-ins and cuts for tests on one machine.
+//!
+//! Stand-ins run inside the test, so that it can read their counters and set their faults; nodes
+//! are processes, so that they can be killed and paused. All traffic between nodes, and from nodes
+//! to the platform, passes relays that can be cut. Errors panic, since this package is for tests.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+pub mod bed;
+pub mod caller;
+pub mod network;
+pub mod node;
+
+pub use bed::{Testbed, TestbedOptions, WORKSPACE, WORKSPACE_KEY};
+pub use caller::{CallerEvent, ChatStream, Outcome, until};
+pub use network::{Network, PLATFORM};
+pub use node::NodeProcess;
--- /dev/null
+++ b/crates/fl-testbed/src/node.rs
@@ -0,0 +1,124 @@
+//! A node as a process.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+/// A node as a process.
+pub struct NodeProcess {
+    /// Its VM.
+    pub vm: String,
+    /// Its data centre.
+    pub data_center: String,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where its admin pages are.
+    pub admin: SocketAddr,
+    /// Where peers reach it, past the relay.
+    pub peer: SocketAddr,
+    binary: PathBuf,
+    settings_path: PathBuf,
+    child: Option<Child>,
+}
+
+impl NodeProcess {
+    /// Describes a process that is not started yet; writes its settings.
+    pub fn new(
+        binary: PathBuf,
+        directory: &std::path::Path,
+        vm: &str,
+        data_center: &str,
+        addresses: [SocketAddr; 3],
+        settings: &str,
+    ) -> Self {
+        let settings_path = directory.join(format!("{vm}.ini"));
+        std::fs::write(&settings_path, settings).unwrap();
+        let [callers, admin, peer] = addresses;
+        NodeProcess {
+            vm: vm.to_string(),
+            data_center: data_center.to_string(),
+            callers,
+            admin,
+            peer,
+            binary,
+            settings_path,
+            child: None,
+        }
+    }
+
+    /// Starts the process; its log goes into a file beside its settings.
+    pub fn start(&mut self) {
+        let log = std::fs::File::create(self.settings_path.with_extension("log")).unwrap();
+        let child = Command::new(&self.binary)
+            .arg("--settings")
+            .arg(&self.settings_path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.child = Some(child);
+    }
+
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.as_ref().unwrap().id()
+    }
+
+    /// Says whether it was started and not ended by the test.
+    pub fn is_started(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Ends it at once, as a crash does.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Asks it to shut down.
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Pauses it.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets it go on.
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Waits for its end.
+    pub async fn wait(&mut self) -> ExitStatus {
+        let mut child = self.child.take().unwrap();
+        loop {
+            if let Some(status) = child.try_wait().unwrap() {
+                return status;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Its log so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.settings_path.with_extension("log")).unwrap_or_default()
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.id().to_string();
+        let status = Command::new("kill").args([name, &id]).status().unwrap();
+        assert!(status.success(), "kill {name} {id}");
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,30 @@
+//! The whole path: a call from its caller through a node to an engine and back.
+
+use fl_testbed::caller::{chat, expected_answer};
+use fl_testbed::{Testbed, TestbedOptions};
+
+fn options() -> TestbedOptions {
+    TestbedOptions::new(env!("CARGO_BIN_EXE_filbertlead"))
+}
+
+#[tokio::test]
+async fn streamed_whole() {
+    let bed = Testbed::start(options()).await;
+    let stream = bed.open(0, &chat("which size fits", 40), "counter", None).await;
+    let outcome = bed.finish(stream.unwrap_or_else(|refusal| panic!("{refusal:?}")), &[1]).await;
+    assert!(outcome.whole, "{outcome:?}");
+    assert_eq!(outcome.text, expected_answer("which size fits", 40));
+    assert_eq!(outcome.connections, 1);
+}
+
+#[tokio::test]
+async fn owner_killed() {
+    let mut bed = Testbed::start(options()).await;
+    let stream = bed.open(0, &chat("plan a night", 200), "plan", None).await;
+    let mut stream = stream.unwrap_or_else(|refusal| panic!("{refusal:?}"));
+    stream.next().await;
+    bed.nodes[0].kill();
+    let outcome = bed.finish(stream, &[1, 2, 3, 4, 5]).await;
+    assert!(outcome.whole, "{outcome:?}");
+    assert_eq!(outcome.connections, 2);
+}
