--- a/crates/fl-standins/src/engine.rs
+++ b/crates/fl-standins/src/engine.rs
@@ -83,7 +83,7 @@
         let die = std::mem::take(&mut faults.die);
         let reclaim_in_ms = faults.reclaim_in_ms.take();
         if let Some(reclaim_in_ms) = reclaim_in_ms {
-            faults.leaving_at_ms = Some(crate::plain_service::unix_ms() + reclaim_in_ms);
+            faults.leaving_at_ms = Some(crate::clock::unix_ms() + reclaim_in_ms);
         }
         self.switches.set(faults);
         if silence {
--- a/crates/fl-standins/src/engine/api.rs
+++ b/crates/fl-standins/src/engine/api.rs
@@ -2,9 +2,9 @@
 
 use super::stream::Stream;
 use super::{Engine, EngineCounters, EngineFaults, Fencing, sse};
+use crate::clock::unix_ms;
 use crate::host::{Answers, ConnectionNumber};
 use crate::http_parts::*;
-use crate::plain_service::unix_ms;
 use fl_protocol::TokenOffset;
 use fl_protocol::engine::{EngineOrder, KvBlocks, StreamOrder};
 use futures::FutureExt as _;
--- a/crates/fl-standins/src/engine/driver.rs
+++ b/crates/fl-standins/src/engine/driver.rs
@@ -1,8 +1,8 @@
 //! Drives an engine's lives: its listener, the clock of its batch, its lagging load reports.
 
 use super::Engine;
+use crate::clock::unix_ms;
 use crate::host;
-use crate::plain_service::unix_ms;
 use fl_protocol::engine::LoadReport;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/fl-standins/src/lib.rs
+++ b/crates/fl-standins/src/lib.rs
@@ -7,6 +7,7 @@
 //! Every stand-in also serves `GET /faults`, `PUT /faults` and `GET /counters`, which work while
 //! the faults are on.
 
+mod clock;
 pub mod cloud;
 pub mod engine;
 pub mod faults;
@@ -23,7 +24,7 @@
 pub use faults::Outage;
 pub use objects::{Objects, ObjectsCounters, ObjectsFaults, ObjectsHandle};
 pub use plain_service::{
-    PlainService, PlainServiceFaults, PlainServiceHandle, PlainServiceOptions, Run,
+    PlainService, PlainServiceFaults, PlainServiceHandle, PlainServiceOptions, Receipt, Run, Stock,
 };
 pub use table::{Table, TableCounters, TableFaults, TableHandle, TableOptions};
 pub use weights::{Weights, WeightsFaults, WeightsHandle, WeightsOptions};
--- a/crates/fl-standins/src/plain_service.rs
+++ b/crates/fl-standins/src/plain_service.rs
@@ -1,5 +1,6 @@
 //! A plain service: stock look-ups, and bookings and deposits that count every run.
 
+use crate::clock::unix_ms;
 use crate::faults::{Outage, Switches, take_one};
 use crate::host::{Answers, ConnectionNumber, Host};
 use crate::http_parts::*;
@@ -16,7 +17,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 const STOCK_PATH: &str = "/stock/";
 const BOOKINGS_PATH: &str = "/bookings";
@@ -218,12 +218,6 @@
     value.unwrap_or_default().to_string()
 }
 
-/// The wall-clock time.
-pub(crate) fn unix_ms() -> UnixMs {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    since_epoch.as_millis() as UnixMs
-}
-
 impl Answers for PlainService {
     fn answer(
         self: Arc<Self>,
--- /dev/null
+++ b/crates/fl-standins/tests/platform.rs
@@ -0,0 +1,156 @@
+//! The stand-ins of the platform and the plain service, with their faults.
+
+#![allow(clippy::unwrap_used, reason = "a step that fails shall fail the test")]
+
+#[path = "support/client.rs"]
+#[allow(dead_code, reason = "each test file uses its part of the client")]
+mod client;
+
+use client::*;
+use fl_protocol::platform::*;
+use fl_standins::*;
+use http::StatusCode;
+use rstest::rstest;
+
+fn put(key: &str, revision: u64) -> Transaction {
+    let (table, key) = ("claims".to_string(), key.to_string());
+    let put = Put { table: table.clone(), key: key.clone(), value: format!("after {revision}") };
+    Transaction { conditions: vec![Condition { table, key, revision }], puts: vec![put] }
+}
+
+async fn transact(table: &TableHandle, transaction: &Transaction) -> Option<TransactionAnswer> {
+    let body = serde_json::to_vec(transaction).unwrap();
+    let answer = call(table.address(), "POST", "/v1/transactions", &[], body).await.ok()?;
+    serde_json::from_slice(&answer.1).ok()
+}
+
+async fn table() -> TableHandle {
+    Table::start(fresh_address(), TableOptions::default()).await.unwrap()
+}
+
+#[tokio::test]
+async fn all_or_nothing() {
+    let table = table().await;
+    let mut both = put("a", 0);
+    both.conditions.extend(put("b", 1).conditions);
+    both.puts.extend(put("b", 1).puts);
+    assert!(!transact(&table, &both).await.unwrap().committed);
+    assert!(table.rows("claims").is_empty());
+    assert!(transact(&table, &put("b", 0)).await.unwrap().committed);
+    let answer = transact(&table, &both).await.unwrap();
+    let revisions: Vec<u64> = answer.rows.iter().map(|row| row.revision).collect();
+    assert_eq!((answer.committed, revisions), (true, vec![1, 2]));
+    let row: Row = get(table.address(), "/v1/rows/claims/b").await;
+    assert_eq!(row.value, "after 1");
+    let rows: Vec<Row> = get(table.address(), "/v1/rows/claims?prefix=a").await;
+    assert_eq!(rows.len(), 1);
+}
+
+#[rstest]
+#[case::works(TableFaults::default(), true, 1)]
+#[case::lost_after(TableFaults { lose_answers: 1, ..TableFaults::default() }, false, 1)]
+#[case::lost_always(TableFaults { lose_all_answers: true, ..TableFaults::default() }, false, 1)]
+#[case::lost_before(TableFaults { lose_transactions: 1, ..TableFaults::default() }, false, 0)]
+#[case::unavailable(TableFaults { outage: Outage::Unavailable, ..TableFaults::default() }, false, 0)]
+#[case::closed(TableFaults { outage: Outage::Closed, ..TableFaults::default() }, false, 0)]
+#[case::slow(TableFaults { slow_ms: 20, ..TableFaults::default() }, true, 1)]
+#[tokio::test]
+async fn table_faults(#[case] faults: TableFaults, #[case] answered: bool, #[case] rows: usize) {
+    let table = table().await;
+    assert_eq!(send(table.address(), "PUT", "/faults", &faults).await, 200);
+    assert_eq!(transact(&table, &put("a", 0)).await.is_some(), answered);
+    assert_eq!(table.rows("claims").len(), rows);
+}
+
+#[tokio::test]
+async fn over_the_rate() {
+    let table = table().await;
+    table.set_faults(TableFaults { reads_per_s: 1, ..TableFaults::default() });
+    let (first, second) = tokio::join!(
+        call(table.address(), "GET", "/v1/rows/claims", &[], Vec::new()),
+        call(table.address(), "GET", "/v1/rows/claims", &[], Vec::new()),
+    );
+    let mut statuses = [first.unwrap().0, second.unwrap().0];
+    statuses.sort();
+    assert_eq!(statuses, [StatusCode::OK, StatusCode::TOO_MANY_REQUESTS]);
+}
+
+#[rstest]
+#[case::works(PlainServiceFaults::default(), Some(201), 1)]
+#[case::lost(PlainServiceFaults { lose_answers: 1, ..PlainServiceFaults::default() }, None, 1)]
+#[case::refused(PlainServiceFaults { outage: Outage::Unavailable, ..PlainServiceFaults::default() }, Some(503), 0)]
+#[case::failed_before(PlainServiceFaults { fail_before_effect: true, ..PlainServiceFaults::default() }, Some(500), 0)]
+#[case::failed_after(PlainServiceFaults { fail_after_effect: true, ..PlainServiceFaults::default() }, Some(500), 1)]
+#[tokio::test]
+async fn booking_faults(
+    #[case] faults: PlainServiceFaults,
+    #[case] status: Option<u16>,
+    #[case] runs: u64,
+) {
+    let options = PlainServiceOptions::default();
+    let service = PlainService::start(fresh_address(), options).await.unwrap();
+    service.set_faults(faults);
+    let headers = [("idempotency-key", "k")];
+    let answer = call(service.address(), "POST", "/bookings", &headers, Vec::new()).await;
+    assert_eq!(answer.ok().map(|answer| answer.0.as_u16()), status);
+    assert_eq!(service.runs_of("k"), runs);
+}
+
+#[tokio::test]
+async fn object_kept() {
+    let objects = Objects::start(fresh_address()).await.unwrap();
+    objects.set_faults(ObjectsFaults { lose_answers: 1, ..ObjectsFaults::default() });
+    let body = b"body".to_vec();
+    assert!(call(objects.address(), "PUT", "/v1/objects/o", &[], body).await.is_err());
+    let (status, body) =
+        call(objects.address(), "GET", "/v1/objects/o", &[], Vec::new()).await.unwrap();
+    assert_eq!((status, body.as_ref()), (StatusCode::OK, b"body".as_ref()));
+}
+
+fn vm(name: &str) -> Vm {
+    Vm {
+        name: name.to_string(),
+        kind: VmKind::Runner,
+        pool: "models".to_string(),
+        data_center: "dc-a".to_string(),
+        address: "127.0.0.1:1".to_string(),
+        machine_class: "large".to_string(),
+        reclaimable: true,
+        leaving: false,
+    }
+}
+
+#[rstest]
+#[case::lagging(3_600_000, false)]
+#[case::fresh(0, true)]
+#[tokio::test]
+async fn list_lags(#[case] list_lag_ms: u64, #[case] leaving: bool) {
+    let options = CloudOptions { list_lag_ms, ..CloudOptions::default() };
+    let cloud = Cloud::start(fresh_address(), options).await.unwrap();
+    cloud.set_vms(vec![vm("b"), vm("a")]);
+    cloud.announce(ReclaimNotice { vm: "a".to_string(), leaving_at_ms: 5 });
+    let notices: Vec<ReclaimNotice> = get(cloud.address(), "/v1/notices").await;
+    assert_eq!(notices.len(), 1);
+    let listed: Vec<Vm> = get(cloud.address(), "/v1/vms").await;
+    assert_eq!(listed.iter().map(|vm| vm.leaving).collect::<Vec<_>>(), [leaving, false]);
+}
+
+#[rstest]
+#[case::starts(CloudFaults::default(), 200, 1)]
+#[case::refused(CloudFaults { refuse_next_starts: 1, ..CloudFaults::default() }, 409, 0)]
+#[case::full(CloudFaults { refusing_data_centers: vec!["dc-a".to_string()], ..CloudFaults::default() }, 409, 0)]
+#[case::never(CloudFaults { never_start: true, ..CloudFaults::default() }, 200, 0)]
+#[tokio::test]
+async fn vm_starts(#[case] faults: CloudFaults, #[case] status: u16, #[case] vms: usize) {
+    let cloud = Cloud::start(fresh_address(), CloudOptions::default()).await.unwrap();
+    cloud.set_faults(faults);
+    let order = StartVm {
+        kind: VmKind::Runner,
+        pool: "models".to_string(),
+        data_center: "dc-a".to_string(),
+        machine_class: "large".to_string(),
+        reclaimable: true,
+    };
+    assert_eq!(send(cloud.address(), "POST", "/v1/vms", &order).await, status);
+    assert_eq!(cloud.vms().len(), vms);
+}
