--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -3,6 +3,22 @@
 //! Each module starts one service and registers it under its name; `run` starts them in order. See
 //! `docs/design/010-packages.md`.
 
+pub mod admin;
 pub mod context;
+pub mod membership;
+pub mod event_log;
+pub mod logging;
+pub mod front;
+pub mod readiness;
+pub mod streams;
+pub mod directory;
+pub mod front;
+mod interim;
+pub mod options;
+pub mod readiness;
+pub mod routing;
+pub mod run;
+pub mod streams;
 
 pub use context::{ServiceContext, StartError};
+pub use run::start;
