Add filbertctl with check, key and timeline

Cause: operators had no command line.

Change: fl-ctl is a library with one command a file and a thin binary. check reads settings and configurations and reports all faults of all files; key makes fleet and workspace keys and hashes a key from standard input; timeline finds all members from one admin address, merges their events and prints text or writes a page, naming nodes that did not answer. Exit codes: 0 done, 1 faulty, 2 wrong command line or file, 3 unreachable, 4 not accepted. Each command has Arguments, EXAMPLES and run; failures are a CommandError. The admin pages take readiness from the service of that name, and event counts follow the other metrics' prefix.

--- /dev/null
+++ b/crates/fl-ctl/src/commands.rs
@@ -0,0 +1,45 @@
+//! The commands, one a file.
+//!
+//! Each file has `Arguments` (what follows the command's name), `EXAMPLES` (for its help) and
+//! `run`.
+
+pub mod check;
+pub mod key;
+pub mod timeline;
+
+use crate::error::CommandError;
+use gumdrop::Options;
+
+/// The command that was asked for, with its arguments.
+#[derive(Debug, Options)]
+pub enum Command {
+    /// See [`check`].
+    #[options(help = "check settings or configurations without starting anything")]
+    Check(check::Arguments),
+    /// See [`key`].
+    #[options(help = "make a fleet key or a workspace key with its hash")]
+    Key(key::Arguments),
+    /// See [`timeline`].
+    #[options(help = "merge the events of all nodes into one time line")]
+    Timeline(timeline::Arguments),
+}
+
+impl Command {
+    /// Runs the command.
+    pub async fn run(self) -> Result<(), CommandError> {
+        match self {
+            Command::Check(arguments) => check::run(&arguments),
+            Command::Key(arguments) => key::run(&arguments),
+            Command::Timeline(arguments) => timeline::run(&arguments).await,
+        }
+    }
+
+    /// The examples in the help of the command.
+    pub fn examples(&self) -> &'static str {
+        match self {
+            Command::Check(_) => check::EXAMPLES,
+            Command::Key(_) => key::EXAMPLES,
+            Command::Timeline(_) => timeline::EXAMPLES,
+        }
+    }
+}
--- a/crates/fl-ctl/src/main.rs
+++ b/crates/fl-ctl/src/main.rs
@@ -1,3 +1,5 @@
-//! filbertctl, the operators' command line.
+//! The operators' command line.
 
-fn main() {}
+fn main() -> std::process::ExitCode {
+    fl_ctl::command_line::main()
+}
--- a/crates/fl-node/src/admin.rs
+++ b/crates/fl-node/src/admin.rs
@@ -61,8 +61,8 @@
         .map_err(|error| StartError::Metrics(error.to_string()))?;
     let time_line = context.registry.find::<TimeLineLog>(TIME_LINE)?;
     let state = Arc::new(AdminState { context: context.clone(), time_line, metrics });
-    context.tasks.spawn(fold_metrics(state.metrics.clone(), context.cancel.clone()));
-    context.tasks.spawn(accept(listener, state));
+    context.spawn(fold_metrics(state.metrics.clone(), context.cancel.clone()));
+    context.spawn(accept(listener, state));
     Ok(())
 }
 
@@ -96,7 +96,7 @@
         };
         let state = state.clone();
         let serving = serve(stream, state.clone());
-        state.context.tasks.spawn(async move {
+        state.context.clone().spawn(async move {
             serving.await;
             drop(place);
         });
--- a/crates/fl-node/src/admin/status.rs
+++ b/crates/fl-node/src/admin/status.rs
@@ -1,6 +1,7 @@
 //! Gathers the status of the node from its services.
 
 use super::AdminState;
+use crate::readiness::{READINESS, Readiness};
 use fl_kernel::clock::unix_ms;
 use fl_kernel::names;
 use fl_kernel::services::{Backend, ConfigurationSource, Directory, Membership};
@@ -19,7 +20,7 @@
         now_ms: unix_ms(),
         ready: not_ready_reasons.is_empty(),
         not_ready_reasons,
-        configuration_version: configuration_version(state).unwrap_or(0),
+        configuration_version: configuration_version(state),
         members: members(state),
         backends: backends(state),
     }
@@ -27,24 +28,15 @@
 
 /// Why the balancer should send no callers here; empty when it should.
 pub(super) fn not_ready_reasons(state: &AdminState) -> Vec<String> {
-    let mut reasons = Vec::new();
-    if state.context.accepting.is_cancelled() {
-        reasons.push("the node is leaving".to_string());
+    match state.registry().find::<Readiness>(READINESS) {
+        Ok(readiness) => readiness.reasons(),
+        Err(_) => vec!["the node is starting".to_string()],
     }
-    match configuration_version(state) {
-        None => reasons.push("the node is starting".to_string()),
-        Some(0) => {
-            let reason = "no configuration was learned from the platform or a peer yet";
-            reasons.push(reason.to_string());
-        }
-        Some(_) => {}
-    }
-    reasons
 }
 
-fn configuration_version(state: &AdminState) -> Option<ConfigurationVersion> {
+fn configuration_version(state: &AdminState) -> ConfigurationVersion {
     let found = state.registry().find::<dyn ConfigurationSource>(names::CONFIGURATION);
-    found.ok().map(|source| source.current().version)
+    found.map_or(0, |source| source.current().version)
 }
 
 fn members(state: &AdminState) -> Vec<Member> {
--- a/crates/fl-node/src/event_log.rs
+++ b/crates/fl-node/src/event_log.rs
@@ -88,7 +88,7 @@
         let name = kind_name(kind);
         let request_id = request.map(request_id_text);
         log_event(level_of(kind), &name, request_id.as_deref(), &detail);
-        metrics::counter!("filbertlead_events_total", "kind" => name).increment(1);
+        metrics::counter!("fl_events_total", "kind" => name).increment(1);
         self.push(kind, request_id, detail);
     }
 }
--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -5,12 +5,12 @@
 
 pub mod admin;
 pub mod context;
+pub mod directory;
 pub mod event_log;
-pub mod logging;
 pub mod front;
+pub mod logging;
 pub mod readiness;
-pub mod streams;
-pub mod directory;
 pub mod routing;
+pub mod streams;
 
 pub use context::{ServiceContext, StartError};
--- a/crates/fl-node/tests/admin.rs
+++ b/crates/fl-node/tests/admin.rs
@@ -5,6 +5,7 @@
 use fl_config::Settings;
 use fl_kernel::names;
 use fl_kernel::services::{ConfigurationSource, EventLog};
+use fl_node::readiness::{READINESS, Readiness};
 use fl_node::{ServiceContext, admin, event_log};
 use fl_platform::http::build;
 use fl_platform::{HttpClient, HttpError, Reuse};
@@ -54,6 +55,7 @@
         accepting: node.accepting(),
         cancel: node.cancel(),
         tasks: node.tasks(),
+        runtime: tokio::runtime::Handle::current(),
     }
 }
 
@@ -101,8 +103,10 @@
     }
     assert_eq!(reader.status_and_body(Method::POST, "/status").await.0, 405);
 
-    // Readiness follows the configuration and the end of accepting.
+    // Readiness follows the configuration and the node's leaving.
     assert_eq!(reader.get("/readyz").await, (503, "the node is starting\n".to_string()));
+    let readiness = Arc::new(Readiness::new(&context));
+    context.registry.register(READINESS, readiness.clone()).unwrap();
     let source = Arc::new(OneConfiguration(watch::Sender::new(Arc::default())));
     context
         .registry
@@ -133,10 +137,10 @@
 
     // Metrics count events by kind.
     let (_, metrics) = reader.get("/metrics").await;
-    assert!(metrics.contains("filbertlead_events_total{kind=\"accepted\"} 1"), "{metrics}");
+    assert!(metrics.contains("fl_events_total{kind=\"accepted\"} 1"), "{metrics}");
 
     // A leaving node says so and still answers until its tasks end.
-    context.accepting.cancel();
+    readiness.set_leaving();
     assert_eq!(reader.get("/readyz").await, (503, "the node is leaving\n".to_string()));
     context.cancel.cancel();
     context.tasks.close();
