--- a/crates/fl-node/tests/admin.rs
+++ b/crates/fl-node/tests/admin.rs
@@ -50,7 +50,6 @@
     );
     let node = fl_kernel::Node::new();
     ServiceContext {
-        runtime: tokio::runtime::Handle::current(),
         settings: Arc::new(Settings::read(&text).unwrap()),
         registry: node.registry(),
         accepting: node.accepting(),
