Run nodes on the pushed configuration and print where it is in force

Cause: nodes still read a provisional object, and operators had no command to submit a configuration or to see where it is in force.

`filbertctl push` checks the file whole, submits it on its parent's version, and with `--wait` prints each data centre as its last node applies the version; `filbertctl status` prints the version and the nodes of each data centre.

--- a/crates/fl-ctl/src/commands.rs
+++ b/crates/fl-ctl/src/commands.rs
@@ -5,6 +5,8 @@
 
 pub mod check;
 pub mod key;
+pub mod push;
+pub mod status;
 pub mod timeline;
 
 use crate::error::CommandError;
@@ -19,6 +21,12 @@
     /// See [`key`].
     #[options(help = "make a fleet key or a workspace key with its hash")]
     Key(key::Arguments),
+    /// See [`push`].
+    #[options(help = "submit a configuration and wait until it is in force")]
+    Push(push::Arguments),
+    /// See [`status`].
+    #[options(help = "print the version in force and the nodes of each data centre")]
+    Status(status::Arguments),
     /// See [`timeline`].
     #[options(help = "merge the events of all nodes into one time line")]
     Timeline(timeline::Arguments),
@@ -30,6 +38,8 @@
         match self {
             Command::Check(arguments) => check::run(&arguments),
             Command::Key(arguments) => key::run(&arguments),
+            Command::Push(arguments) => push::run(&arguments).await,
+            Command::Status(arguments) => status::run(&arguments).await,
             Command::Timeline(arguments) => timeline::run(&arguments).await,
         }
     }
@@ -39,6 +49,8 @@
         match self {
             Command::Check(_) => check::EXAMPLES,
             Command::Key(_) => key::EXAMPLES,
+            Command::Push(_) => push::EXAMPLES,
+            Command::Status(_) => status::EXAMPLES,
             Command::Timeline(_) => timeline::EXAMPLES,
         }
     }
--- /dev/null
+++ b/crates/fl-ctl/src/commands/push.rs
@@ -0,0 +1,133 @@
+//! `filbertctl push`: submits a configuration and waits until it is in force.
+
+use super::status::{FleetStatus, read_fleet};
+use crate::error::CommandError;
+use fl_config::read_configuration;
+use fl_platform::{ConfigurationStore, Head, HttpClient, PushError, Reuse};
+use fl_protocol::{Configuration, ConfigurationVersion, DataCenterName};
+use gumdrop::Options;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+const DEFAULT_PATIENCE_S: u64 = 30;
+const POLL: Duration = Duration::from_millis(200);
+
+/// What to push, and where.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    /// Asks for the help.
+    #[options(help = "print this help")]
+    help: bool,
+    /// The configuration.
+    #[options(free, required, help = "file of the configuration")]
+    file: String,
+    /// The table service.
+    #[options(no_short, required, help = "the platform's table service", meta = "IP:PORT")]
+    table: Option<SocketAddr>,
+    /// The object store.
+    #[options(no_short, required, help = "the platform's object store", meta = "IP:PORT")]
+    objects: Option<SocketAddr>,
+    /// Whether to wait.
+    #[options(no_short, help = "wait until it is in force in every data centre")]
+    wait: bool,
+    /// Where to ask.
+    #[options(help = "admin address of a node; may be given again", meta = "IP:PORT")]
+    admin: Vec<SocketAddr>,
+    /// How long to try.
+    #[options(no_short, help = "give up after N seconds (30)", meta = "N")]
+    patience_s: Option<u64>,
+}
+
+/// Examples for the help.
+pub const EXAMPLES: &str =
+    "  filbertctl push fleet.ini --table 127.0.0.1:7300 --objects 127.0.0.1:7301
+  filbertctl push fleet.ini --table 127.0.0.1:7300 --objects 127.0.0.1:7301 \\
+      --wait --admin 127.0.0.1:9090
+";
+
+/// Checks the file whole, submits it, and reports where it is in force.
+pub async fn run(arguments: &Arguments) -> Result<(), CommandError> {
+    if arguments.wait && arguments.admin.is_empty() {
+        return Err(CommandError::Usage("--wait needs --admin IP:PORT of a node".to_string()));
+    }
+    let patience = Duration::from_secs(arguments.patience_s.unwrap_or(DEFAULT_PATIENCE_S));
+    let configuration = read_file(&arguments.file)?;
+    let head = submit(arguments, &configuration, patience).await?;
+    let accepted_at = Instant::now();
+    println!("accepted: version {} by {}", head.version, head.operator);
+    if !arguments.wait {
+        return Ok(());
+    }
+    wait_in_force(arguments, head.version, accepted_at, patience).await
+}
+
+fn read_file(path: &str) -> Result<Configuration, CommandError> {
+    let text = std::fs::read_to_string(path).map_err(|error| CommandError::File {
+        path: path.to_string(),
+        message: error.to_string(),
+    })?;
+    read_configuration(&text)
+        .map_err(|report| CommandError::Faulty { path: path.to_string(), report })
+}
+
+async fn submit(
+    arguments: &Arguments,
+    configuration: &Configuration,
+    patience: Duration,
+) -> Result<Head, CommandError> {
+    let missing = || CommandError::Usage("push needs --table and --objects".to_string());
+    let table = arguments.table.ok_or_else(missing)?;
+    let objects = arguments.objects.ok_or_else(missing)?;
+    let store = ConfigurationStore::new(table, objects, PLATFORM_TIMEOUT);
+    let nonce = format!("{:032x}", rand::random::<u128>());
+    store.push(configuration, &nonce, patience).await.map_err(refusal)
+}
+
+fn refusal(error: PushError) -> CommandError {
+    let text = error.to_string();
+    match error {
+        PushError::Conflict { .. } => CommandError::NotAccepted(text),
+        PushError::Unavailable(_) | PushError::Unknown(_) | PushError::Unwritable(_) => {
+            CommandError::Failed(text)
+        }
+    }
+}
+
+/// Prints each data centre as soon as all its nodes that answer have the version.
+async fn wait_in_force(
+    arguments: &Arguments,
+    version: ConfigurationVersion,
+    accepted_at: Instant,
+    patience: Duration,
+) -> Result<(), CommandError> {
+    let client = HttpClient::new(Reuse::Pooled);
+    let mut printed: Vec<DataCenterName> = Vec::new();
+    loop {
+        let fleet = read_fleet(&client, &arguments.admin).await?;
+        for data_center in newly_in_force(&fleet, version, &printed) {
+            let elapsed_ms = accepted_at.elapsed().as_millis();
+            println!("in force: {data_center}, version {version} after {elapsed_ms} ms");
+            printed.push(data_center);
+        }
+        if fleet.data_centers().iter().all(|data_center| printed.contains(data_center)) {
+            return Ok(());
+        }
+        if accepted_at.elapsed() >= patience {
+            print!("{fleet}");
+            let text = format!("version {version} is accepted but not yet in force everywhere");
+            return Err(CommandError::Failed(format!("{text}; see filbertctl status")));
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+fn newly_in_force(
+    fleet: &FleetStatus,
+    version: ConfigurationVersion,
+    printed: &[DataCenterName],
+) -> Vec<DataCenterName> {
+    let mut names = fleet.data_centers();
+    names.retain(|name| !printed.contains(name) && fleet.is_in_force(name, version));
+    names
+}
--- /dev/null
+++ b/crates/fl-ctl/src/commands/status.rs
@@ -0,0 +1,163 @@
+//! `filbertctl status`: the version in force and the nodes of each data centre.
+
+use crate::error::CommandError;
+use crate::nodes::{find_nodes, read_status};
+use fl_platform::{HttpClient, Reuse};
+use fl_protocol::admin::StatusPage;
+use fl_protocol::{ConfigurationVersion, DataCenterName, Member, MemberState};
+use futures::future::join_all;
+use gumdrop::Options;
+use std::fmt::{Display, Formatter};
+use std::net::SocketAddr;
+
+/// Where to ask.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    /// Asks for the help.
+    #[options(help = "print this help")]
+    help: bool,
+    /// The nodes to start from.
+    #[options(help = "admin address of a node; may be given again", meta = "IP:PORT")]
+    admin: Vec<SocketAddr>,
+}
+
+/// Examples for the help.
+pub const EXAMPLES: &str = "  filbertctl status --admin 127.0.0.1:9090
+";
+
+/// What one node said, or that it said nothing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NodeStatus {
+    /// It answered.
+    Answered(StatusPage),
+    /// It did not; its peers' word of it.
+    Silent(Member),
+}
+
+/// All nodes, by data centre and VM.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct FleetStatus {
+    nodes: Vec<NodeStatus>,
+}
+
+/// Prints the status of the fleet.
+pub async fn run(arguments: &Arguments) -> Result<(), CommandError> {
+    if arguments.admin.is_empty() {
+        return Err(CommandError::Usage("status needs --admin IP:PORT of a node".to_string()));
+    }
+    let client = HttpClient::new(Reuse::Pooled);
+    print!("{}", read_fleet(&client, &arguments.admin).await?);
+    Ok(())
+}
+
+/// Asks the given nodes and all members they know.
+pub async fn read_fleet(
+    client: &HttpClient,
+    given: &[SocketAddr],
+) -> Result<FleetStatus, CommandError> {
+    let addresses = find_nodes(client, given).await?;
+    let answers = join_all(addresses.iter().map(|admin| read_status(client, *admin))).await;
+    let pages: Vec<StatusPage> = answers.into_iter().flatten().collect();
+    Ok(FleetStatus::new(pages))
+}
+
+impl FleetStatus {
+    /// Sorts the pages and adds the members that gave none.
+    pub fn new(pages: Vec<StatusPage>) -> Self {
+        let mut nodes: Vec<NodeStatus> = Vec::new();
+        for page in &pages {
+            for member in &page.members {
+                let answered = pages.iter().any(|page| page.vm == member.vm);
+                let listed = nodes.iter().any(|node| *node.vm() == member.vm);
+                if !answered && !listed && member.state != MemberState::Dead {
+                    nodes.push(NodeStatus::Silent(member.clone()));
+                }
+            }
+        }
+        nodes.extend(pages.into_iter().map(NodeStatus::Answered));
+        nodes.sort_by(|a, b| (a.data_center(), a.vm()).cmp(&(b.data_center(), b.vm())));
+        nodes.dedup_by(|a, b| a.vm() == b.vm());
+        FleetStatus { nodes }
+    }
+
+    /// The data centres, sorted.
+    pub fn data_centers(&self) -> Vec<DataCenterName> {
+        let mut names: Vec<DataCenterName> =
+            self.nodes.iter().map(|node| node.data_center().clone()).collect();
+        names.dedup();
+        names
+    }
+
+    /// Whether every node of a data centre answered and has the version or a higher one.
+    pub fn is_in_force(&self, data_center: &str, version: ConfigurationVersion) -> bool {
+        self.nodes_of(data_center).iter().all(|node| match node {
+            NodeStatus::Answered(page) => page.configuration_version >= version,
+            NodeStatus::Silent(_) => false,
+        })
+    }
+
+    fn nodes_of(&self, data_center: &str) -> Vec<&NodeStatus> {
+        self.nodes.iter().filter(|node| node.data_center() == data_center).collect()
+    }
+}
+
+impl NodeStatus {
+    fn vm(&self) -> &String {
+        match self {
+            NodeStatus::Answered(page) => &page.vm,
+            NodeStatus::Silent(member) => &member.vm,
+        }
+    }
+
+    fn data_center(&self) -> &DataCenterName {
+        match self {
+            NodeStatus::Answered(page) => &page.data_center,
+            NodeStatus::Silent(member) => &member.data_center,
+        }
+    }
+}
+
+impl Display for FleetStatus {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        for data_center in self.data_centers() {
+            let nodes = self.nodes_of(&data_center);
+            writeln!(f, "{data_center}: {}", version_text(&nodes))?;
+            for node in nodes {
+                writeln!(f, "  {node}")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Display for NodeStatus {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            NodeStatus::Answered(page) if page.ready => {
+                write!(f, "{}: ready, version {}", page.vm, page.configuration_version)
+            }
+            NodeStatus::Answered(page) => {
+                let reasons = page.not_ready_reasons.join("; ");
+                let version = page.configuration_version;
+                write!(f, "{}: not ready, version {version}: {reasons}", page.vm)
+            }
+            NodeStatus::Silent(member) => {
+                write!(f, "{}: does not answer, its peers call it {:?}", member.vm, member.state)
+            }
+        }
+    }
+}
+
+fn version_text(nodes: &[&NodeStatus]) -> String {
+    let mut versions: Vec<ConfigurationVersion> = Vec::new();
+    for node in nodes {
+        if let NodeStatus::Answered(page) = node {
+            versions.push(page.configuration_version);
+        }
+    }
+    match (versions.iter().min(), versions.iter().max()) {
+        (Some(lowest), Some(highest)) if lowest == highest => format!("version {lowest} in force"),
+        (Some(lowest), Some(highest)) => format!("versions {lowest} to {highest}"),
+        _ => "no node answers".to_string(),
+    }
+}
--- a/crates/fl-node/src/run.rs
+++ b/crates/fl-node/src/run.rs
@@ -5,7 +5,7 @@
 use crate::options::NodeOptions;
 use crate::readiness::{READINESS, Readiness};
 use crate::streams::{self, Streams};
-use crate::{admin, directory, event_log, interim, logging, membership, routing};
+use crate::{admin, configuration, directory, event_log, interim, logging, membership, routing};
 use fl_config::Settings;
 use fl_kernel::clock::unix_ms;
 use fl_kernel::names;
@@ -78,6 +78,7 @@
     event_log::start(context)?;
     interim::start(context)?;
     membership::start(context).await?;
+    configuration::start(context)?;
     directory::start(context)?;
     routing::start(context)?;
     let streams = streams::start(context)?;
--- a/crates/fl-testbed/src/bed.rs
+++ b/crates/fl-testbed/src/bed.rs
@@ -149,11 +149,10 @@
 
     /// Puts a configuration into force through the platform.
     pub async fn push(&self, configuration: &Configuration) {
-        let http = fl_platform::HttpClient::new(fl_platform::Reuse::Never);
-        let uri = format!("http://{}/v1/objects/configuration-interim", self.objects.address());
-        let body = serde_json::to_vec(configuration).unwrap();
-        let request = fl_platform::http::build(http::Method::PUT, &uri, body.into()).unwrap();
-        http.fetch(request, READY_TIMEOUT).await.unwrap();
+        let (table, objects) = (self.table.address(), self.objects.address());
+        let store = fl_platform::ConfigurationStore::new(table, objects, READY_TIMEOUT);
+        let nonce = format!("{:032x}", rand::random::<u128>());
+        store.push(configuration, &nonce, READY_TIMEOUT).await.unwrap();
     }
 
     /// Waits until a node is ready and knows all others that are started.
