--- a/crates/fl-fleet/src/lib.rs
+++ b/crates/fl-fleet/src/lib.rs
@@ -1,1 +1,10 @@
 //! Leases and fleet decisions as pure functions.
+//!
+//! Nothing here reads a clock or a socket; callers pass the time of their monotonic clock. See
+//! `docs/design/080-leases-and-fencing.md` and `docs/design/090-fleet.md`.
+
+pub mod lease;
+pub mod orders;
+pub mod placement;
+
+pub use lease::{Claim, Held, Lease, LeaseError, LeaseRow, Observed, Renewal};
--- /dev/null
+++ b/crates/fl-fleet/tests/lease.rs
@@ -0,0 +1,163 @@
+//! Leases: who may take over when, and who still believes.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic as tests do")]
+
+use fl_fleet::{Lease, LeaseError, LeaseRow, Observed, Renewal};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::time::Duration;
+
+const TERM: Duration = Duration::from_secs(10);
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn row(holder: &str, fencing: u64) -> LeaseRow {
+    LeaseRow { holder: holder.to_string(), fencing, term_ms: 10_000, nonce: 1 }
+}
+
+fn watching() -> Lease<Observed> {
+    Lease::new("b", TERM, Duration::ZERO)
+}
+
+#[rstest]
+#[case::no_row(None, 0, Some(1))]
+#[case::released(Some(row("", 4)), 0, Some(5))]
+#[case::just_seen(Some(row("a", 4)), 0, None)]
+#[case::term_over(Some(row("a", 4)), 10, None)]
+#[case::drift_over(Some(row("a", 4)), 11, Some(5))]
+#[case::own_former_life(Some(row("b", 4)), 10, None)]
+fn take_over(#[case] found: Option<LeaseRow>, #[case] after_s: u64, #[case] fencing: Option<u64>) {
+    let lease = watching().observe(seconds(100), found.map(|row| (7, row)));
+    let claim = lease.claim(seconds(100 + after_s), 2);
+    assert_eq!(claim.map(|claim| claim.row.fencing), fencing);
+}
+
+#[test]
+fn renewal_resets_wait() {
+    let lease = watching().observe(seconds(100), Some((7, row("a", 4))));
+    let lease = lease.observe(seconds(110), Some((8, row("a", 4))));
+    assert_eq!(lease.claim(seconds(115), 2), None);
+    assert!(lease.claim(seconds(121), 2).is_some());
+}
+
+#[test]
+fn validity_from_before_sending() {
+    let lease = watching();
+    let claim = lease.claim(seconds(5), 2).unwrap();
+    let held = lease.acquired(seconds(5), claim, 1);
+    assert_eq!(held.fencing(seconds(14)), Ok(1));
+    assert_eq!(held.fencing(seconds(15)), Err(LeaseError::Lapsed));
+    assert!(!held.is_renewal_due(seconds(8)));
+    assert!(held.is_renewal_due(seconds(9)));
+}
+
+#[rstest]
+#[case::written(true, 2, true)]
+#[case::not_yet(false, 1, true)]
+#[case::taken_over(false, 2, false)]
+fn answer_lost(#[case] own_nonce: bool, #[case] revision: u64, #[case] still_held: bool) {
+    let lease = watching();
+    let claim = lease.claim(seconds(5), 2).unwrap();
+    let held = lease.acquired(seconds(5), claim.clone(), 1);
+    let renewal = held.renewal(3);
+    let found = if own_nonce { renewal.row.clone() } else { row("a", 2) };
+    let after = held.written(seconds(9), seconds(8), &renewal, Some((revision, found)));
+    assert_eq!(matches!(after, Renewal::Held(_)), still_held);
+}
+
+/// One contender with a clock of its own: rate in per mille, paused spans, lost answers.
+struct Contender {
+    rate: u32,
+    observed: Option<Lease<Observed>>,
+    held: Option<Lease<fl_fleet::Held>>,
+    paused_until_ms: u64,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// Whatever pauses, clock rates within the drift and lost answers: two never hold at once, and
+    /// fencing numbers only grow.
+    #[test]
+    fn one_holder(
+        rates in prop::collection::vec(960u32..1040, 3),
+        steps in prop::collection::vec((0usize..3, any::<u16>()), 1..400),
+    ) {
+        let name = |index: usize| format!("entry-{index}");
+        let mut table: Option<(u64, LeaseRow)> = None;
+        let mut now_ms = 0u64;
+        let mut highest = 0;
+        let mut contenders: Vec<Contender> = rates
+            .iter()
+            .enumerate()
+            .map(|(index, rate)| Contender {
+                rate: *rate,
+                observed: Some(Lease::new(&name(index), TERM, Duration::ZERO)),
+                held: None,
+                paused_until_ms: 0,
+            })
+            .collect();
+        for (index, dice) in steps {
+            now_ms += 1 + u64::from(dice % 1500);
+            let clock = |contender: &Contender, at_ms: u64| {
+                Duration::from_micros(at_ms * u64::from(contender.rate))
+            };
+            let contender = &mut contenders[index];
+            if now_ms < contender.paused_until_ms {
+                continue;
+            }
+            if dice % 11 == 0 {
+                contender.paused_until_ms = now_ms + u64::from(dice);
+                continue;
+            }
+            let now = clock(contender, now_ms);
+            let answer_lost = dice % 7 == 0;
+            if let Some(held) = contender.held.take() {
+                if held.fencing(now).is_err() {
+                    contender.observed = Some(held.into_observed(now, table.clone()));
+                } else if held.is_renewal_due(now) {
+                    let renewal = held.renewal(u64::from(dice));
+                    write(&mut table, &renewal);
+                    if answer_lost {
+                        contender.held = Some(held);
+                    } else {
+                        match held.written(now, now, &renewal, table.clone()) {
+                            Renewal::Held(held) => contender.held = Some(held),
+                            Renewal::Lost(observed) => contender.observed = Some(observed),
+                        }
+                    }
+                } else {
+                    contender.held = Some(held);
+                }
+            } else if let Some(observed) = contender.observed.take() {
+                let observed = observed.observe(now, table.clone());
+                match observed.claim(now, u64::from(dice)) {
+                    Some(claim) if write(&mut table, &claim) && !answer_lost => {
+                        let revision = table.as_ref().map_or(0, |(revision, _)| *revision);
+                        prop_assert!(claim.row.fencing > highest);
+                        highest = claim.row.fencing;
+                        contender.held = Some(observed.acquired(now, claim, revision));
+                    }
+                    _ => contender.observed = Some(observed),
+                }
+            }
+            let believing = contenders.iter().filter(|contender| {
+                let now = clock(contender, now_ms);
+                contender.held.as_ref().is_some_and(|held| held.fencing(now).is_ok())
+            });
+            prop_assert!(believing.count() <= 1);
+        }
+    }
+}
+
+/// Applies a conditional write.
+fn write(table: &mut Option<(u64, LeaseRow)>, claim: &fl_fleet::Claim) -> bool {
+    let revision = table.as_ref().map_or(0, |(revision, _)| *revision);
+    if revision != claim.revision {
+        return false;
+    }
+    *table = Some((revision + 1, claim.row.clone()));
+    true
+}
--- /dev/null
+++ b/crates/fl-node/src/fleet.rs
@@ -0,0 +1,114 @@
+//! Gives the orders that bring the engines of this data centre to the wanted state.
+//!
+//! Only the holder of the data centre's lease gives orders. Each round reads the engines' states
+//! back, so that a late order of a former holder is repaired. See `docs/design/090-fleet.md`.
+
+use crate::context::{ServiceContext, StartError};
+use crate::lease::{LEASE, LeaseService, ORDER_TIMEOUT};
+use fl_fleet::orders::{WantedState, needed_order};
+use fl_fleet::placement::{RunnerState, needs, place};
+use fl_kernel::names;
+use fl_kernel::services::{Backend, ConfigurationSource, Directory, EventLog};
+use fl_platform::EngineReports;
+use fl_platform::cloud::OrderClient;
+use fl_protocol::engine::EngineState;
+use fl_protocol::event::EventKind;
+use fl_protocol::platform::VmKind;
+use futures::future::join_all;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two rounds; a late order of a former holder is repaired within it.
+const ROUND: Duration = Duration::from_secs(2);
+/// Bytes a second that the weight store serves to one data centre.
+const WEIGHT_RATE_BYTES_PER_S: u64 = 1_000_000_000;
+
+struct FleetService {
+    context: ServiceContext,
+    lease: Arc<LeaseService>,
+    directory: Arc<dyn Directory>,
+    configuration: Arc<dyn ConfigurationSource>,
+    reports: EngineReports,
+    orders: OrderClient,
+}
+
+/// Starts to give orders whenever this node holds the lease.
+pub fn start(context: &ServiceContext) -> Result<(), StartError> {
+    let platform = &context.settings.platform;
+    let service = FleetService {
+        context: context.clone(),
+        lease: context.registry.find::<LeaseService>(LEASE)?,
+        directory: context.registry.find::<dyn Directory>(names::DIRECTORY)?,
+        configuration: context.registry.find::<dyn ConfigurationSource>(names::CONFIGURATION)?,
+        reports: EngineReports::new(ORDER_TIMEOUT),
+        orders: OrderClient::new(platform.cloud, ORDER_TIMEOUT),
+    };
+    context.spawn(give_orders(service));
+    Ok(())
+}
+
+async fn give_orders(service: FleetService) {
+    let accepting = service.context.accepting.clone();
+    loop {
+        tokio::select! {
+            () = accepting.cancelled() => return,
+            () = tokio::time::sleep(ROUND) => {}
+        }
+        if service.lease.fencing().is_some() {
+            service.round().await;
+        }
+    }
+}
+
+impl FleetService {
+    async fn round(&self) {
+        let configuration = self.configuration.current();
+        if configuration.version == 0 {
+            return;
+        }
+        let runners = self.near_runners();
+        let found =
+            join_all(runners.iter().map(|runner| self.reports.state(&runner.vm.address))).await;
+        let mut answered: Vec<(&Backend, EngineState)> = Vec::new();
+        for (runner, state) in runners.iter().zip(found) {
+            if let Ok(state) = state {
+                answered.push((runner, state));
+            }
+        }
+        let states: Vec<RunnerState> = answered.iter().map(runner_state).collect();
+        let load_budget_bytes = WEIGHT_RATE_BYTES_PER_S * ROUND.as_secs();
+        let wanted = place(&needs(&configuration, &[]), &states, load_budget_bytes);
+        let orders = answered.iter().zip(&wanted);
+        join_all(orders.map(|((runner, found), wanted)| self.bring(runner, found, wanted))).await;
+    }
+
+    fn near_runners(&self) -> Vec<Backend> {
+        let own_data_center = &self.context.settings.node.data_center;
+        let mut runners = self.directory.backends(VmKind::Runner);
+        runners.retain(|runner| {
+            let leaving = runner.vm.leaving || runner.leaving_at_ms.is_some();
+            runner.vm.data_center == *own_data_center && !leaving
+        });
+        runners
+    }
+
+    /// Gives one order, if it is needed and the lease still holds at this moment.
+    async fn bring(&self, runner: &Backend, found: &EngineState, wanted: &WantedState) {
+        if found.models.is_empty() {
+            return;
+        }
+        let Some(fencing) = self.lease.fencing() else { return };
+        let Some(order) = needed_order(wanted, found, fencing) else { return };
+        let result = self.orders.order(&runner.vm.address, &order).await;
+        let outcome = result.map_or_else(|error| error.to_string(), |_| "obeyed".to_string());
+        let models = order.models.join(" ");
+        let detail = format!("{}: fencing {fencing}, models {models}: {outcome}", runner.vm.name);
+        if let Ok(log) = self.context.registry.find::<dyn EventLog>(names::EVENT_LOG) {
+            log.record(EventKind::OrderGiven, None, detail);
+        }
+    }
+}
+
+fn runner_state((runner, state): &(&Backend, EngineState)) -> RunnerState {
+    RunnerState { runner: runner.vm.name.clone(), models: state.models.clone() }
+}
--- a/crates/fl-node/src/run.rs
+++ b/crates/fl-node/src/run.rs
@@ -5,7 +5,9 @@
 use crate::options::NodeOptions;
 use crate::readiness::{READINESS, Readiness};
 use crate::streams::{self, Streams};
-use crate::{admin, configuration, directory, event_log, interim, logging, membership, routing};
+use crate::{
+    admin, configuration, directory, event_log, fleet, interim, lease, logging, membership, routing,
+};
 use fl_config::Settings;
 use fl_kernel::clock::unix_ms;
 use fl_kernel::names;
@@ -80,6 +82,8 @@
     membership::start(context).await?;
     configuration::start(context)?;
     directory::start(context)?;
+    lease::start(context)?;
+    fleet::start(context)?;
     routing::start(context)?;
     let streams = streams::start(context)?;
     streams::start_peers(context, streams.clone())?;
--- /dev/null
+++ b/crates/fl-platform/src/lease_store.rs
@@ -0,0 +1,77 @@
+//! The rows of leases in the table service.
+
+use crate::http::{HttpClient, HttpError, Reuse};
+use crate::rows::{read_row, transact};
+use displaydoc::Display;
+use fl_protocol::platform::{Condition, Put, Row, Transaction};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thiserror::Error;
+
+const TABLE: &str = "leases";
+
+/// Why a lease row was not read or written.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum LeaseStoreError {
+    /// the table service did not answer: {0}; no order is given until it does
+    Table(HttpError),
+    /// the lease row cannot be read: {0}; run the same release everywhere
+    Unreadable(String),
+}
+
+/// A row with its revision; `None` while nobody ever held the lease.
+pub type FoundRow<T> = Option<(u64, T)>;
+
+/// Reads and writes lease rows; each call is one try.
+#[derive(Debug, Clone)]
+pub struct LeaseStore {
+    http: HttpClient,
+    table: SocketAddr,
+    timeout: Duration,
+}
+
+impl LeaseStore {
+    /// Makes a client; `timeout` bounds each call.
+    pub fn new(table: SocketAddr, timeout: Duration) -> Self {
+        LeaseStore { http: HttpClient::new(Reuse::Pooled), table, timeout }
+    }
+
+    /// Reads the row of a lease.
+    pub async fn read<T: DeserializeOwned>(
+        &self,
+        lease: &str,
+    ) -> Result<FoundRow<T>, LeaseStoreError> {
+        let row = read_row(&self.http, self.table, TABLE, lease, self.timeout).await;
+        row.map_err(LeaseStoreError::Table)?.as_ref().map(parse).transpose()
+    }
+
+    /// Writes the row if it still has the revision, and gives it as it is then.
+    ///
+    /// An error leaves open whether the write took effect; read the row to learn it.
+    pub async fn write<T: Serialize + DeserializeOwned>(
+        &self,
+        lease: &str,
+        revision: u64,
+        row: &T,
+    ) -> Result<FoundRow<T>, LeaseStoreError> {
+        let value = serde_json::to_string(row).map_err(unreadable)?;
+        let (table, key) = (TABLE.to_string(), lease.to_string());
+        let condition = Condition { table: table.clone(), key: key.clone(), revision };
+        let puts = vec![Put { table, key, value }];
+        let transaction = Transaction { conditions: vec![condition], puts };
+        let answer = transact(&self.http, self.table, &transaction, self.timeout).await;
+        let rows = answer.map_err(LeaseStoreError::Table)?.rows;
+        rows.first().map(parse).transpose()
+    }
+}
+
+fn parse<T: DeserializeOwned>(row: &Row) -> Result<(u64, T), LeaseStoreError> {
+    let value = serde_json::from_str(&row.value).map_err(unreadable)?;
+    Ok((row.revision, value))
+}
+
+fn unreadable(error: serde_json::Error) -> LeaseStoreError {
+    LeaseStoreError::Unreadable(error.to_string())
+}
