--- a/crates/fl-membership/src/state.rs
+++ b/crates/fl-membership/src/state.rs
@@ -10,7 +10,7 @@
 use crate::probes::Probes;
 use crate::riders::Riders;
 use crate::spread::SpreadQueue;
-use crate::table::{Entry, MemberChange, MemberTable};
+use crate::table::{Entry, MemberChange, MemberTable, member_digest};
 use fl_protocol::{ConfigurationVersion, Member, MemberState, VmName};
 use rand::RngExt;
 use std::net::SocketAddr;
@@ -249,9 +249,7 @@
     }
 
     fn digest_changed(&mut self) {
-        let mut whole = MemberTable::default();
-        whole.merge(Duration::ZERO, &self.own);
-        self.digest = self.table.digest() ^ whole.digest();
+        self.digest = self.table.digest() ^ member_digest(&self.own);
     }
 
     /// Picks one of several at random.
--- a/crates/fl-membership/src/state/tick.rs
+++ b/crates/fl-membership/src/state/tick.rs
@@ -117,7 +117,7 @@
         let near_count = self.near_members().len() + 1;
         let share = (CROSS_PROBES / near_count as f64).min(1.0);
         let heartbeat = self.config.heartbeat;
-        let overdue_after = self.config.suspicion / 2;
+        let overdue_after = self.config.suspicion;
         let mut due: Vec<DataCenterName> = Vec::new();
         for contact in self.contacts.all() {
             let age = now.saturating_sub(contact.heard_at);
--- a/crates/fl-membership/src/table.rs
+++ b/crates/fl-membership/src/table.rs
@@ -34,6 +34,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct MemberTable {
     entries: Vec<Entry>,
+    digest: u32,
 }
 
 impl MemberTable {
@@ -69,6 +70,7 @@
             Err(index) => {
                 let change =
                     MemberChange { vm: member.vm.clone(), before: None, after: member.state };
+                self.digest ^= member_digest(&member);
                 self.entries.insert(index, new_entry(now, member));
                 Some(change)
             }
@@ -83,19 +85,9 @@
         });
     }
 
-    /// Digest of all members that are not dead; a suspicion, which passes, does not change it.
+    /// Digest of all members that are not dead, kept up to date with each change.
     pub fn digest(&self) -> u32 {
-        let mut digest = 0;
-        for entry in &self.entries {
-            let member = &entry.member;
-            if member.state == MemberState::Dead {
-                continue;
-            }
-            let leaving = [u8::from(member.state == MemberState::Leaving)];
-            let incarnation = member.incarnation.to_be_bytes();
-            digest ^= hash64(&[member.vm.as_bytes(), &incarnation, &leaving]) as u32;
-        }
-        digest
+        self.digest
     }
 
     fn replace(&mut self, index: usize, now: Duration, member: Member) -> Option<MemberChange> {
@@ -108,6 +100,7 @@
         let suspected = member.state == MemberState::Suspect;
         entry.suspected_at = suspected.then_some(now);
         entry.changed_at = now;
+        self.digest ^= member_digest(&entry.member) ^ member_digest(&member);
         entry.member = member;
         Some(change)
     }
@@ -124,6 +117,16 @@
     new > old
 }
 
+/// What one member adds to the digest of a table; a suspicion, which passes, does not change it.
+pub fn member_digest(member: &Member) -> u32 {
+    if member.state == MemberState::Dead {
+        return 0;
+    }
+    let leaving = [u8::from(member.state == MemberState::Leaving)];
+    let incarnation = member.incarnation.to_be_bytes();
+    hash64(&[member.vm.as_bytes(), &incarnation, &leaving]) as u32
+}
+
 fn new_entry(now: Duration, member: Member) -> Entry {
     let suspected = member.state == MemberState::Suspect;
     Entry {
--- a/crates/fl-node/src/membership.rs
+++ b/crates/fl-node/src/membership.rs
@@ -103,10 +103,12 @@
             // A lost datagram is made up for by the next heartbeat.
             let _ = self.socket.send_to(&datagram.bytes, datagram.to).await;
         }
-        let (changes, revision) = {
+        let (changes, revision, traffic) = {
             let mut state = self.state.lock();
-            (state.take_changes(), state.revision())
+            (state.take_changes(), state.revision(), state.traffic())
         };
+        metrics::counter!("membership_sent_bytes").absolute(traffic.sent_bytes);
+        metrics::counter!("membership_received_bytes").absolute(traffic.received_bytes);
         self.revision.send_if_modified(|known| std::mem::replace(known, revision) != revision);
         for change in changes {
             self.record(&change);
