Prove that an accepted request survives 24 single and paired faults

Cause: the guardian copy had been shown for one fault only. Change: a table of nine faults (kills, pauses, silence, SIGTERM, reclaim of an engine, an entry VM, a data centre), single, in pairs and the same twice. Limit: owner and guardian lost within the detection time lose the request.

--- a/crates/fl-testbed/src/bed.rs
+++ b/crates/fl-testbed/src/bed.rs
@@ -2,6 +2,7 @@
 
 use crate::network::Network;
 use crate::node::NodeProcess;
+use fl_protocol::event::{Event, EventKind};
 use fl_protocol::platform::{Vm, VmKind};
 use fl_protocol::{CallClass, Configuration, Model, PlainService, Priority, Workspace, sha256_hex};
 use fl_standins::{
@@ -9,6 +10,7 @@
     PlainService as ServiceStandIn, PlainServiceHandle, PlainServiceOptions, Table, TableHandle,
     TableOptions, Weights, WeightsHandle, WeightsOptions,
 };
+use fl_timeline::TimeLinePage;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
@@ -177,6 +179,36 @@
         }
     }
 
+    /// The events of a node, oldest first; none if it does not answer.
+    pub async fn events(&self, node: usize) -> Vec<Event> {
+        let http = fl_platform::HttpClient::new(fl_platform::Reuse::Never);
+        let uri = format!("http://{}/timeline", self.nodes[node].admin);
+        let page = http.get_json::<TimeLinePage>(&uri, Duration::from_secs(1)).await;
+        page.map(|page| page.events).unwrap_or_default()
+    }
+
+    /// The last event of a kind for a request over all nodes that answer.
+    pub async fn last_event(&self, kind: EventKind, request_id: &str) -> Option<Event> {
+        let mut found: Vec<Event> = Vec::new();
+        for node in 0..self.nodes.len() {
+            let events = self.events(node).await;
+            found.extend(events.into_iter().filter(|event| {
+                event.kind == kind && event.request_id.as_deref() == Some(request_id)
+            }));
+        }
+        found.into_iter().max_by_key(|event| event.stamp)
+    }
+
+    /// The index of a node by its VM.
+    pub fn node_index(&self, vm: &str) -> usize {
+        self.nodes.iter().position(|node| node.vm == vm).unwrap()
+    }
+
+    /// The index of a runner's engine by its VM.
+    pub fn engine_index(&self, vm: &str) -> usize {
+        self.engines.iter().position(|engine| engine.vm() == vm).unwrap()
+    }
+
     /// The nodes that run in a data centre.
     pub fn nodes_in(&self, data_center: &str) -> Vec<usize> {
         let nodes = self.nodes.iter().enumerate();
--- a/crates/fl-testbed/src/caller.rs
+++ b/crates/fl-testbed/src/caller.rs
@@ -17,6 +17,9 @@
 use std::time::{Duration, Instant};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(60);
+/// A node shows a sign of life every 5 s; a caller that sees none reconnects.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(7);
+const REOPEN_TIMEOUT: Duration = Duration::from_secs(5);
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 const GUARD: Duration = Duration::from_secs(90);
 
@@ -60,9 +63,12 @@
 }
 
 /// One connection of a streamed answer.
+#[derive(Debug)]
 pub struct ChatStream {
     /// The request id of the first header bytes.
     pub request_id: String,
+    /// The id of the last token's event.
+    pub last_event_id: Option<String>,
     body: Incoming,
     buffer: Vec<u8>,
 }
@@ -72,9 +78,12 @@
     pub async fn next(&mut self) -> CallerEvent {
         loop {
             if let Some(event) = self.take_event() {
+                if let CallerEvent::Token { event_id, .. } = &event {
+                    self.last_event_id = Some(event_id.clone());
+                }
                 return event;
             }
-            match tokio::time::timeout(CALL_TIMEOUT, self.body.frame()).await {
+            match tokio::time::timeout(IDLE_TIMEOUT, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     if let Some(data) = frame.data_ref() {
                         self.buffer.extend_from_slice(data);
@@ -154,7 +163,7 @@
             builder = builder.header(IDEMPOTENCY_KEY_HEADER, key);
         }
         let body = Bytes::from(serde_json::to_vec(chat).unwrap());
-        open_stream(builder.body(Full::new(body)).unwrap()).await
+        open_stream(builder.body(Full::new(body)).unwrap(), CALL_TIMEOUT).await
     }
 
     /// Reconnects to a request at a node.
@@ -169,7 +178,7 @@
         if let Some(event_id) = last_event_id {
             builder = builder.header(LAST_EVENT_ID_HEADER, event_id);
         }
-        open_stream(builder.body(Full::new(Bytes::new())).unwrap()).await
+        open_stream(builder.body(Full::new(Bytes::new())).unwrap(), REOPEN_TIMEOUT).await
     }
 
     /// Carries a stream to its end, reconnecting to the nodes given in turn.
@@ -177,7 +186,7 @@
         let mut outcome =
             Outcome { request_id: first.request_id.clone(), connections: 1, ..Outcome::default() };
         let mut stream = first;
-        let mut last_event_id: Option<String> = None;
+        let mut last_event_id = stream.last_event_id.clone();
         let begun = Instant::now();
         let mut turn = 0;
         loop {
@@ -240,16 +249,18 @@
 /// Opens a stream; anything but an event stream is a refusal.
 pub async fn open_stream(
     request: Request<Full<Bytes>>,
+    timeout: Duration,
 ) -> Result<ChatStream, Result<Reply, HttpError>> {
     let http = HttpClient::new(Reuse::Never);
-    let response = http.send(request, CALL_TIMEOUT).await.map_err(Err)?;
+    let response = http.send(request, timeout).await.map_err(Err)?;
     let (head, body) = response.into_parts();
     if head.status != StatusCode::OK {
         let body = body.collect().await.map(|whole| whole.to_bytes()).unwrap_or_default();
         return Err(Ok(Reply { status: head.status, headers: head.headers, body }));
     }
     let id = head.headers.get(REQUEST_ID_HEADER).and_then(|value| value.to_str().ok());
-    Ok(ChatStream { request_id: id.unwrap_or_default().to_string(), body, buffer: Vec::new() })
+    let request_id = id.unwrap_or_default().to_string();
+    Ok(ChatStream { request_id, last_event_id: None, body, buffer: Vec::new() })
 }
 
 /// Polls a condition until it holds; panics after a guard time that only a hang reaches.
--- a/crates/fl-testbed/src/node.rs
+++ b/crates/fl-testbed/src/node.rs
@@ -105,6 +105,15 @@
         }
     }
 
+    /// Ends it at once after a while, whatever the test does meanwhile.
+    pub fn kill_after(&self, wait: Duration) {
+        let id = self.id().to_string();
+        tokio::spawn(async move {
+            tokio::time::sleep(wait).await;
+            let _ = Command::new("kill").args(["-KILL", &id]).status();
+        });
+    }
+
     /// Its log so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.settings_path.with_extension("log")).unwrap_or_default()
--- /dev/null
+++ b/tests/reclaim.rs
@@ -0,0 +1,205 @@
+//! An accepted request completes whatever is taken away from under it.
+//!
+//! Each case streams one answer through the first node and applies faults in mid-stream. See
+//! `docs/PROOFS.md`.
+
+#![allow(clippy::expect_used)]
+
+use fl_protocol::event::EventKind;
+use fl_standins::EngineOptions;
+use fl_testbed::caller::{chat, expected_answer};
+use fl_testbed::{CallerEvent, Testbed, TestbedOptions, until};
+use rstest::rstest;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+const TOKENS: u64 = 400;
+/// Tokens that the caller holds before a fault.
+const TOKENS_BEFORE: usize = 20;
+const NOTICE: Duration = Duration::from_millis(3_000);
+const PROMPT: &str = "a long plan for a group of eleven guests with boots of every size";
+
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    KillOwner,
+    KillGuardian,
+    KillEngine,
+    SilenceEngine,
+    PauseOwner,
+    TerminateOwner,
+    ReclaimOwner,
+    ReclaimEngine,
+    ReclaimDataCenter,
+}
+
+use Fault::*;
+
+#[rstest]
+#[case::kill_owner(&[KillOwner])]
+#[case::kill_guardian(&[KillGuardian])]
+#[case::kill_engine(&[KillEngine])]
+#[case::silence_engine(&[SilenceEngine])]
+#[case::pause_owner(&[PauseOwner])]
+#[case::terminate_owner(&[TerminateOwner])]
+#[case::reclaim_owner(&[ReclaimOwner])]
+#[case::reclaim_engine(&[ReclaimEngine])]
+#[case::reclaim_dc(&[ReclaimDataCenter])]
+#[tokio::test]
+async fn single_fault(#[case] faults: &[Fault]) {
+    completes(faults).await;
+}
+
+#[rstest]
+#[case::owner_engine(&[KillOwner, KillEngine])]
+#[case::engine_owner(&[KillEngine, KillOwner])]
+#[case::guardian_owner(&[KillGuardian, KillOwner])]
+#[case::owner_guardian(&[KillOwner, KillGuardian])]
+#[case::notice_owner(&[TerminateOwner, KillOwner])]
+#[case::reclaim_killed(&[ReclaimOwner, KillOwner])]
+#[case::dc_killed(&[ReclaimDataCenter, KillOwner])]
+#[case::dc_guardian(&[ReclaimDataCenter, KillGuardian])]
+#[case::silence_owner(&[SilenceEngine, KillOwner])]
+#[case::reclaim_both(&[ReclaimEngine, ReclaimOwner])]
+#[tokio::test]
+async fn fault_pair(#[case] faults: &[Fault]) {
+    completes(faults).await;
+}
+
+#[rstest]
+#[case::owner(&[KillOwner, KillOwner])]
+#[case::guardian(&[KillGuardian, KillGuardian])]
+#[case::engine(&[KillEngine, KillEngine])]
+#[case::silence(&[SilenceEngine, SilenceEngine])]
+#[case::reclaim(&[ReclaimEngine, ReclaimEngine])]
+#[tokio::test]
+async fn same_twice(#[case] faults: &[Fault]) {
+    completes(faults).await;
+}
+
+async fn completes(faults: &[Fault]) {
+    let mut options = TestbedOptions::new(env!("CARGO_BIN_EXE_filbertlead"))
+        .setting("membership", "heartbeat_ms = 200")
+        .setting("membership", "suspicion_ms = 600");
+    options.runners = 6;
+    options.engine = EngineOptions { between_tokens_ms: 15, ..options.engine };
+    let mut bed = Testbed::start(options).await;
+    let opened = bed.open(0, &chat(PROMPT, TOKENS), "plan", None).await;
+    let mut stream = opened.expect("the call was refused");
+    let mut text = String::new();
+    for _ in 0..TOKENS_BEFORE {
+        if let CallerEvent::Token { text: token, .. } = stream.next().await {
+            text.push_str(&token);
+        }
+    }
+    let request_id = stream.request_id.clone();
+    for fault in faults {
+        apply(&mut bed, *fault, &request_id).await;
+    }
+    let outcome = bed.finish(stream, &[1, 2, 3, 4, 5, 0]).await;
+    let whole = if outcome.restarts == 0 { text + &outcome.text } else { outcome.text.clone() };
+    assert!(outcome.whole, "{faults:?}: {outcome:?}");
+    assert_eq!(whole, expected_answer(PROMPT, TOKENS), "{faults:?}");
+}
+
+async fn apply(bed: &mut Testbed, fault: Fault, request_id: &str) {
+    match fault {
+        KillOwner => {
+            let owner = owner(bed, request_id).await;
+            bed.nodes[owner].kill();
+        }
+        PauseOwner => bed.nodes[owner(bed, request_id).await].pause(),
+        TerminateOwner => bed.nodes[owner(bed, request_id).await].terminate(),
+        KillGuardian => {
+            owner(bed, request_id).await;
+            let vm = detail(bed, EventKind::GuardianPlaced, request_id).await;
+            let guardian = bed.node_index(&vm);
+            bed.nodes[guardian].kill();
+            until("a new guardian", async || {
+                detail(bed, EventKind::GuardianPlaced, request_id).await != vm
+            })
+            .await;
+        }
+        KillEngine => {
+            let engine = engine(bed, request_id).await;
+            bed.engines[engine].die();
+            attempt_after(bed, engine, request_id).await;
+        }
+        SilenceEngine => bed.engines[engine(bed, request_id).await].silence_open(),
+        ReclaimEngine => {
+            let engine = engine(bed, request_id).await;
+            let vm = bed.engines[engine].vm().to_string();
+            announce(bed, &vm);
+            bed.engines[engine].reclaim(NOTICE);
+            attempt_after(bed, engine, request_id).await;
+        }
+        ReclaimOwner => {
+            let owner = owner(bed, request_id).await;
+            let vm = bed.nodes[owner].vm.clone();
+            announce(bed, &vm);
+            bed.nodes[owner].kill_after(NOTICE);
+        }
+        ReclaimDataCenter => reclaim_data_center(bed, request_id).await,
+    }
+}
+
+async fn reclaim_data_center(bed: &Testbed, request_id: &str) {
+    let owner = owner(bed, request_id).await;
+    let data_center = bed.nodes[owner].data_center.clone();
+    bed.reclaim(&data_center, leaving_at_ms());
+    for node in bed.nodes_in(&data_center) {
+        bed.nodes[node].kill_after(NOTICE);
+    }
+    for vm in bed.cloud.vms() {
+        if vm.data_center == data_center
+            && let Some(engine) = bed.engines.iter().find(|engine| engine.vm() == vm.name)
+        {
+            engine.reclaim(NOTICE);
+        }
+    }
+}
+
+/// The node that last became the owner, once it runs and has placed its copy at a guardian.
+///
+/// Until then there is one copy only, and its loss is the loss of both at once, which is not
+/// promised.
+async fn owner(bed: &Testbed, request_id: &str) -> usize {
+    let mut found = 0;
+    until("a live owner", async || {
+        let taken = bed.last_event(EventKind::TakenOver, request_id).await;
+        found = taken.map_or(0, |event| bed.node_index(&event.vm));
+        let placed = bed.last_event(EventKind::GuardianPlaced, request_id).await;
+        let by_owner = placed.is_some_and(|event| event.vm == bed.nodes[found].vm);
+        by_owner && bed.nodes[found].is_started()
+    })
+    .await;
+    found
+}
+
+async fn engine(bed: &Testbed, request_id: &str) -> usize {
+    bed.engine_index(&detail(bed, EventKind::AttemptStarted, request_id).await)
+}
+
+async fn detail(bed: &Testbed, kind: EventKind, request_id: &str) -> String {
+    let mut found = None;
+    until("an event", async || {
+        found = bed.last_event(kind, request_id).await;
+        found.is_some()
+    })
+    .await;
+    found.map(|event| event.detail).unwrap_or_default()
+}
+
+/// Waits until the request is tried elsewhere, so that a second fault meets the new attempt.
+async fn attempt_after(bed: &Testbed, lost: usize, request_id: &str) {
+    until("a new attempt", async || engine(bed, request_id).await != lost).await;
+}
+
+fn announce(bed: &Testbed, vm: &str) {
+    let notice =
+        fl_protocol::platform::ReclaimNotice { vm: vm.to_string(), leaving_at_ms: leaving_at_ms() };
+    bed.cloud.announce(notice);
+}
+
+fn leaving_at_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    (now + NOTICE).as_millis() as u64
+}
