Add the load tool with answer checks

Cause: nothing offered the users' load or checked from outside that each caller gets the whole answer to its own call. `filbertctl load` fixes all arrival times from a seed, sends both users' mixes, follows an answer over cuts, moves and restarts through other nodes, checks each token against the prompt, holds the services' run counts against what callers were told, and reports percentiles by workspace and class as table and JSON. Latency counts from the planned arrival, so that a late send does not hide a slow system. Recomputed tokens are what the engines computed beyond one computation of each distinct block.

The command line gets the command `load`, in a file of its own.

Proof: nine runs against a scripted node (whole, cut, moved, restarted, foreign tokens, refused, given up, forgotten, dead), a table of 13 cases for answers and events, and five for schedules and the least prefill.

--- a/crates/fl-ctl/src/commands.rs
+++ b/crates/fl-ctl/src/commands.rs
@@ -5,6 +5,7 @@
 
 pub mod check;
 pub mod key;
+pub mod load;
 pub mod timeline;
 
 use crate::error::CommandError;
@@ -19,6 +20,9 @@
     /// See [`key`].
     #[options(help = "make a fleet key or a workspace key with its hash")]
     Key(key::Arguments),
+    /// See [`load`].
+    #[options(help = "offer a mix of calls and report how they were served")]
+    Load(load::Arguments),
     /// See [`timeline`].
     #[options(help = "merge the events of all nodes into one time line")]
     Timeline(timeline::Arguments),
@@ -30,6 +34,7 @@
         match self {
             Command::Check(arguments) => check::run(&arguments),
             Command::Key(arguments) => key::run(&arguments),
+            Command::Load(arguments) => load::run(&arguments).await,
             Command::Timeline(arguments) => timeline::run(&arguments).await,
         }
     }
@@ -39,6 +44,7 @@
         match self {
             Command::Check(_) => check::EXAMPLES,
             Command::Key(_) => key::EXAMPLES,
+            Command::Load(_) => load::EXAMPLES,
             Command::Timeline(_) => timeline::EXAMPLES,
         }
     }
--- /dev/null
+++ b/crates/fl-ctl/src/commands/load.rs
@@ -0,0 +1,134 @@
+//! `filbertctl load`: offers a user's mix of calls and reports how they were served.
+
+use crate::error::CommandError;
+use fl_config::print_configuration;
+use fl_load::{LoadPlan, LoadResult, User, configuration};
+use gumdrop::Options;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+/// Calls a second without `--rate`.
+const DEFAULT_RATE_PER_S: f64 = 20.0;
+/// Seconds of sending without `--seconds`.
+const DEFAULT_DURATION_S: u64 = 10;
+/// The longest run, so that a slip of the finger does not load a system for hours.
+const LONGEST_DURATION_S: u64 = 3_600;
+/// The greatest rate one process offers.
+const GREATEST_RATE_PER_S: f64 = 5_000.0;
+/// Seconds that a call may take without `--answer-timeout`.
+const DEFAULT_ANSWER_TIMEOUT_S: u64 = 60;
+/// Price of one engine without `--price`, in millicents an hour.
+const DEFAULT_PRICE_MILLICENTS_PER_H: u64 = 250_000;
+
+/// What to offer to whom.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    /// Asks for the help.
+    #[options(help = "print this help")]
+    help: bool,
+    /// The nodes.
+    #[options(help = "a node's address for callers; may be given again", meta = "ADDRESS")]
+    node: Vec<SocketAddr>,
+    /// The engines.
+    #[options(no_short, help = "a stand-in engine, to read its counters", meta = "ADDRESS")]
+    engine: Vec<SocketAddr>,
+    /// The plain services.
+    #[options(no_short, help = "a stand-in plain service, to read its runs", meta = "ADDRESS")]
+    service: Vec<SocketAddr>,
+    /// The mix.
+    #[options(help = "piton-frost (the default) or zagadka", meta = "NAME")]
+    user: Option<String>,
+    /// The rate.
+    #[options(help = "calls a second", meta = "N")]
+    rate: Option<f64>,
+    /// The time.
+    #[options(help = "how long calls are sent", meta = "SECONDS")]
+    seconds: Option<u64>,
+    /// The longest answer.
+    #[options(no_short, help = "how long a call may take in all", meta = "SECONDS")]
+    answer_timeout: Option<u64>,
+    /// The seed.
+    #[options(no_short, help = "seed of the schedule", meta = "N")]
+    seed: Option<u64>,
+    /// The price.
+    #[options(no_short, help = "price of one engine in millicents an hour", meta = "N")]
+    price: Option<u64>,
+    /// What is compared.
+    #[options(no_short, help = "what is compared, for experiments", meta = "NAME")]
+    label: Option<String>,
+    /// The conditions.
+    #[options(no_short, help = "the conditions, for experiments", meta = "NAME")]
+    scenario: Option<String>,
+    /// The result file.
+    #[options(help = "write the result as JSON", meta = "FILE")]
+    out: Option<String>,
+    /// The configuration.
+    #[options(no_short, help = "print the configuration the mix needs, and send nothing")]
+    print_configuration: bool,
+}
+
+/// Examples for the help.
+pub const EXAMPLES: &str = "  filbertctl load --user zagadka --print-configuration > zagadka.ini
+  filbertctl load --node 127.0.1.1:8080 --user zagadka --rate 40 --seconds 20 --out result.json
+";
+
+/// Runs the load and fails when a promise was broken.
+pub async fn run(arguments: &Arguments) -> Result<(), CommandError> {
+    let plan = make_plan(arguments)?;
+    if arguments.print_configuration {
+        print!("{}", print_configuration(&configuration(plan.user)));
+        return Ok(());
+    }
+    let cancel = CancellationToken::new();
+    let result = fl_load::run(plan, &cancel).await.map_err(usage)?;
+    print!("{}", result.table());
+    if let Some(path) = &arguments.out {
+        write_result(path, &result)?;
+    }
+    if result.promises_kept() {
+        return Ok(());
+    }
+    let message =
+        "a promise was broken: see failed, wrong, run twice, contradicted and not counted";
+    Err(CommandError::Failed(message.to_string()))
+}
+
+fn make_plan(arguments: &Arguments) -> Result<LoadPlan, CommandError> {
+    let user = arguments.user.as_deref().unwrap_or("piton-frost");
+    let rate_per_s = arguments.rate.unwrap_or(DEFAULT_RATE_PER_S);
+    if !(rate_per_s > 0.0 && rate_per_s <= GREATEST_RATE_PER_S) {
+        let message = format!("--rate: expected above 0 and up to {GREATEST_RATE_PER_S}");
+        return Err(CommandError::Usage(message));
+    }
+    let duration_s = arguments.seconds.unwrap_or(DEFAULT_DURATION_S);
+    if !(1..=LONGEST_DURATION_S).contains(&duration_s) {
+        let message = format!("--seconds: expected 1 to {LONGEST_DURATION_S}");
+        return Err(CommandError::Usage(message));
+    }
+    let answer_timeout_s = arguments.answer_timeout.unwrap_or(DEFAULT_ANSWER_TIMEOUT_S);
+    Ok(LoadPlan {
+        label: arguments.label.clone().unwrap_or_default(),
+        scenario: arguments.scenario.clone().unwrap_or_default(),
+        user: user.parse::<User>().map_err(usage)?,
+        seed: arguments.seed.unwrap_or(1),
+        rate_per_s,
+        duration: Duration::from_secs(duration_s),
+        answer_timeout: Duration::from_secs(answer_timeout_s),
+        nodes: arguments.node.clone(),
+        engines: arguments.engine.clone(),
+        services: arguments.service.clone(),
+        engine_price_millicents_per_h: arguments.price.unwrap_or(DEFAULT_PRICE_MILLICENTS_PER_H),
+    })
+}
+
+fn usage(error: fl_load::LoadError) -> CommandError {
+    CommandError::Usage(error.to_string())
+}
+
+fn write_result(path: &str, result: &LoadResult) -> Result<(), CommandError> {
+    let text = serde_json::to_string_pretty(result)
+        .map_err(|error| CommandError::Failed(error.to_string()))?;
+    std::fs::write(path, text + "\n")
+        .map_err(|error| CommandError::File { path: path.to_string(), message: error.to_string() })
+}
--- /dev/null
+++ b/crates/fl-load/src/answer.rs
@@ -0,0 +1,88 @@
+//! Checks that an answer is whole and its caller's own.
+
+use crate::events::StreamEvent;
+use fl_protocol::TokenOffset;
+use fl_protocol::chat::{
+    ChatChunk, ChatRequest, END_MARKER, MOVED_EVENT, PROBLEM_EVENT, RESTART_EVENT,
+};
+use fl_protocol::engine::stand_in_token;
+
+/// What an event meant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// The next token arrived.
+    Token,
+    /// Nothing to do, such as for a comment.
+    Ignored,
+    /// The answer starts again.
+    Restarted,
+    /// The request goes on elsewhere; reconnect.
+    Moved,
+    /// The answer is whole.
+    Whole,
+    /// The answer will not come; the problem body.
+    Problem(String),
+    /// The event does not belong to this answer, or not here; what was wrong.
+    Wrong(String),
+}
+
+/// The state of one answer as its caller sees it.
+#[derive(Debug, Clone)]
+pub struct AnswerCheck {
+    /// What follows the offset in each of the answer's tokens.
+    token_tail: String,
+    max_tokens: TokenOffset,
+    next: TokenOffset,
+}
+
+impl AnswerCheck {
+    /// Expects the answer of a call.
+    pub fn new(request: &ChatRequest) -> AnswerCheck {
+        let first_token = stand_in_token(&request.prompt_text(), 0);
+        let token_tail = first_token[1..].to_string();
+        AnswerCheck { token_tail, max_tokens: request.max_tokens, next: 0 }
+    }
+
+    /// The offset of the token that comes next.
+    pub fn next(&self) -> TokenOffset {
+        self.next
+    }
+
+    /// Takes one event.
+    pub fn take(&mut self, event: &StreamEvent) -> Step {
+        match event.name.as_str() {
+            RESTART_EVENT => {
+                self.next = 0;
+                Step::Restarted
+            }
+            MOVED_EVENT => Step::Moved,
+            PROBLEM_EVENT => Step::Problem(event.data.clone()),
+            _ if event.data.is_empty() => Step::Ignored,
+            _ if event.data == END_MARKER => self.end(),
+            _ => self.take_token(event),
+        }
+    }
+
+    fn end(&self) -> Step {
+        if self.next == self.max_tokens {
+            return Step::Whole;
+        }
+        Step::Wrong(format!("end after {} of {} tokens", self.next, self.max_tokens))
+    }
+
+    fn take_token(&mut self, event: &StreamEvent) -> Step {
+        let chunk: ChatChunk = match serde_json::from_str(&event.data) {
+            Ok(chunk) => chunk,
+            Err(error) => return Step::Wrong(format!("no chunk: {error}")),
+        };
+        let id = event.id.as_deref().and_then(|id| id.parse::<TokenOffset>().ok());
+        let content = chunk.choices.first().map(|choice| choice.delta.content.as_str());
+        let expected = format!("{}{}", self.next, self.token_tail);
+        if id != Some(self.next) || content != Some(expected.as_str()) {
+            let (id, content) = (event.id.as_deref(), content.unwrap_or_default());
+            return Step::Wrong(format!("token {id:?} {content:?}, expected {expected:?}"));
+        }
+        self.next += 1;
+        Step::Token
+    }
+}
--- /dev/null
+++ b/crates/fl-load/src/experiment.rs
@@ -0,0 +1,1 @@
+//! Puts the results of many runs side by side.
--- a/crates/fl-load/src/lib.rs
+++ b/crates/fl-load/src/lib.rs
@@ -1,1 +1,26 @@
 //! Open-loop load, answer checks, experiments and plots.
+//!
+//! Arrival times are fixed beforehand from a seed, so that slow answers do not slow the load and
+//! two runs with the same seed offer the same calls. See `docs/measurements/README.md`.
+
+mod answer;
+mod ask;
+mod call;
+mod caller;
+mod engines;
+mod error;
+mod events;
+pub mod experiment;
+mod mix;
+mod plot;
+mod report;
+mod run;
+mod tally;
+
+pub use answer::{AnswerCheck, Step};
+pub use engines::{EngineTotals, least_prefill_tokens};
+pub use error::LoadError;
+pub use events::{EventReader, StreamEvent};
+pub use mix::{Arrival, ModelCall, PlainCall, User, Work, configuration, schedule, workspace_key};
+pub use report::{CallCounts, GroupResult, LoadResult, Percentiles, RefusalCount};
+pub use run::{LoadPlan, run};
--- /dev/null
+++ b/crates/fl-load/src/mix/users.rs
@@ -0,0 +1,248 @@
+//! The two users' workspaces, classes and shares of calls.
+
+use crate::error::LoadError;
+use fl_protocol::{CallClass, Configuration, Model, PlainService, Priority, Workspace, sha256_hex};
+use std::str::FromStr;
+
+/// Time to the first token that both users promise at the counter, in milliseconds.
+const COUNTER_FIRST_TOKEN_MS: u64 = 470;
+/// Time between two tokens that both users promise, in milliseconds.
+const BETWEEN_TOKENS_MS: u64 = 55;
+/// Latest first token at the counter, in milliseconds.
+const COUNTER_DEADLINE_MS: u64 = 5_000;
+/// Time to the first token of work that can wait, in milliseconds.
+const DEFERRABLE_FIRST_TOKEN_MS: u64 = 4_000;
+/// Latest first token of work that can wait, in milliseconds.
+const DEFERRABLE_DEADLINE_MS: u64 = 30_000;
+/// How long a plain service may take for one call, in milliseconds.
+const SERVICE_TIMEOUT_MS: u64 = 2_000;
+
+/// One of the two users.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum User {
+    /// Piton Frost Outfitters: gear rental.
+    PitonFrost,
+    /// Zagadka Rooms: escape rooms.
+    Zagadka,
+}
+
+impl FromStr for User {
+    type Err = LoadError;
+
+    fn from_str(text: &str) -> Result<Self, LoadError> {
+        match text {
+            "piton-frost" => Ok(User::PitonFrost),
+            "zagadka" => Ok(User::Zagadka),
+            _ => Err(LoadError::UnknownUser(text.to_string())),
+        }
+    }
+}
+
+/// A workspace and its share of the load.
+pub(crate) struct WorkspaceShare {
+    pub(crate) name: &'static str,
+    pub(crate) load_percent: u32,
+}
+
+/// A kind of call and its share of the load.
+pub(crate) struct Kind {
+    pub(crate) class: &'static str,
+    pub(crate) load_percent: u32,
+    pub(crate) work: KindOfWork,
+}
+
+/// What calls of one kind have in common.
+pub(crate) enum KindOfWork {
+    Ask { histories: u64, history_tokens: u64, question_tokens: u64, answer_tokens: u64 },
+    Call { service: &'static str, path: &'static str },
+    LookUp { service: &'static str, items: u64 },
+}
+
+const PITON_FROST_WORKSPACES: [WorkspaceShare; 5] = [
+    WorkspaceShare { name: "alpine-counter", load_percent: 55 },
+    WorkspaceShare { name: "basin-counter", load_percent: 20 },
+    WorkspaceShare { name: "canyon-counter", load_percent: 12 },
+    WorkspaceShare { name: "delta-counter", load_percent: 8 },
+    WorkspaceShare { name: "workshop", load_percent: 5 },
+];
+
+const ZAGADKA_WORKSPACES: [WorkspaceShare; 5] = [
+    WorkspaceShare { name: "burgas", load_percent: 7 },
+    WorkspaceShare { name: "chain", load_percent: 60 },
+    WorkspaceShare { name: "plovdiv", load_percent: 11 },
+    WorkspaceShare { name: "sofia", load_percent: 15 },
+    WorkspaceShare { name: "varna", load_percent: 7 },
+];
+
+/// Quick questions share the shop's rules; plans share a customer's rental history.
+const PITON_FROST_KINDS: [Kind; 4] = [
+    Kind {
+        class: "counter",
+        load_percent: 65,
+        work: KindOfWork::Ask {
+            histories: 1,
+            history_tokens: 160,
+            question_tokens: 24,
+            answer_tokens: 24,
+        },
+    },
+    Kind {
+        class: "plan",
+        load_percent: 25,
+        work: KindOfWork::Ask {
+            histories: 40,
+            history_tokens: 1_600,
+            question_tokens: 48,
+            answer_tokens: 96,
+        },
+    },
+    Kind {
+        class: "counter",
+        load_percent: 6,
+        work: KindOfWork::Call { service: "bookings", path: "/bookings" },
+    },
+    Kind {
+        class: "counter",
+        load_percent: 4,
+        work: KindOfWork::LookUp { service: "stock", items: 200 },
+    },
+];
+
+/// Briefings share a room's history; quick questions share the house rules.
+const ZAGADKA_KINDS: [Kind; 4] = [
+    Kind {
+        class: "counter",
+        load_percent: 50,
+        work: KindOfWork::Ask {
+            histories: 1,
+            history_tokens: 96,
+            question_tokens: 32,
+            answer_tokens: 24,
+        },
+    },
+    Kind {
+        class: "briefing",
+        load_percent: 40,
+        work: KindOfWork::Ask {
+            histories: 24,
+            history_tokens: 2_400,
+            question_tokens: 64,
+            answer_tokens: 128,
+        },
+    },
+    Kind {
+        class: "counter",
+        load_percent: 5,
+        work: KindOfWork::Call { service: "bookings", path: "/bookings" },
+    },
+    Kind {
+        class: "counter",
+        load_percent: 5,
+        work: KindOfWork::Call { service: "bookings", path: "/deposits" },
+    },
+];
+
+impl User {
+    /// The name on the command line and in results.
+    pub fn name(self) -> &'static str {
+        match self {
+            User::PitonFrost => "piton-frost",
+            User::Zagadka => "zagadka",
+        }
+    }
+
+    /// The model its desks call.
+    pub fn model(self) -> &'static str {
+        match self {
+            User::PitonFrost => "fitting",
+            User::Zagadka => "storyteller",
+        }
+    }
+
+    pub(crate) fn workspaces(self) -> &'static [WorkspaceShare] {
+        match self {
+            User::PitonFrost => &PITON_FROST_WORKSPACES,
+            User::Zagadka => &ZAGADKA_WORKSPACES,
+        }
+    }
+
+    pub(crate) fn kinds(self) -> &'static [Kind] {
+        match self {
+            User::PitonFrost => &PITON_FROST_KINDS,
+            User::Zagadka => &ZAGADKA_KINDS,
+        }
+    }
+
+    fn deferrable_class(self) -> &'static str {
+        match self {
+            User::PitonFrost => "plan",
+            User::Zagadka => "briefing",
+        }
+    }
+
+    /// The targets of one of its classes, in milliseconds: first token, then between tokens.
+    pub fn targets_ms(self, class: &str) -> (u64, u64) {
+        let first_token_ms =
+            if class == "counter" { COUNTER_FIRST_TOKEN_MS } else { DEFERRABLE_FIRST_TOKEN_MS };
+        (first_token_ms, BETWEEN_TOKENS_MS)
+    }
+}
+
+/// The workspace key that load runs use; no key of a real customer.
+pub fn workspace_key(workspace: &str) -> String {
+    format!("load-key-of-{workspace}")
+}
+
+/// The configuration under which the user's load is served.
+pub fn configuration(user: User) -> Configuration {
+    let workspaces = user.workspaces().iter().map(|share| workspace(user, share.name));
+    Configuration {
+        operator: "load".to_string(),
+        workspaces: workspaces.collect(),
+        models: vec![Model {
+            name: user.model().to_string(),
+            copies_per_data_center: 1,
+            weights_bytes: 4 * 1024 * 1024,
+            ..Model::default()
+        }],
+        services: vec![service("bookings", false), service("stock", true)],
+        ..Configuration::default()
+    }
+}
+
+fn workspace(user: User, name: &str) -> Workspace {
+    let mut classes = vec![
+        class(user, "counter", Priority::Counter, COUNTER_DEADLINE_MS),
+        class(user, user.deferrable_class(), Priority::Deferrable, DEFERRABLE_DEADLINE_MS),
+    ];
+    classes.sort_by(|left, right| left.name.cmp(&right.name));
+    Workspace {
+        name: name.to_string(),
+        key_sha256_hex: sha256_hex(workspace_key(name).as_bytes()),
+        weight: 1,
+        models: vec![user.model().to_string()],
+        services: vec!["bookings".to_string(), "stock".to_string()],
+        classes,
+        ..Workspace::default()
+    }
+}
+
+fn class(user: User, name: &str, priority: Priority, deadline_ms: u64) -> CallClass {
+    let (first_token_target_ms, between_tokens_target_ms) = user.targets_ms(name);
+    CallClass {
+        name: name.to_string(),
+        priority,
+        first_token_target_ms,
+        between_tokens_target_ms,
+        deadline_ms,
+    }
+}
+
+fn service(name: &str, repeatable: bool) -> PlainService {
+    PlainService {
+        name: name.to_string(),
+        pool: "application".to_string(),
+        repeatable,
+        timeout_ms: SERVICE_TIMEOUT_MS,
+    }
+}
--- /dev/null
+++ b/crates/fl-load/src/plot.rs
@@ -0,0 +1,1 @@
+//! Draws results.
--- /dev/null
+++ b/crates/fl-load/src/run.rs
@@ -0,0 +1,193 @@
+//! Runs a schedule against the nodes.
+
+use crate::ask::{Ask, Ending, ask};
+use crate::call::call;
+use crate::caller::{Caller, Identity};
+use crate::engines::{EngineWatch, PromptLog};
+use crate::error::LoadError;
+use crate::mix::{Arrival, User, Work, schedule, workspace_key};
+use crate::report::LoadResult;
+use crate::tally::{CountedRun, Tally};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Pause between two reads of the engines' counters.
+const ENGINE_PERIOD: Duration = Duration::from_millis(250);
+/// The path where a stand-in service tells how often it ran each call.
+const RUNS_PATH: &str = "/runs";
+const SECONDS_PER_H: f64 = 3_600.0;
+const TOKENS_PER_COST: f64 = 1_000.0;
+
+/// What to run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LoadPlan {
+    /// What is compared, for the result.
+    pub label: String,
+    /// Under which conditions, for the result.
+    pub scenario: String,
+    /// Whose mix of calls.
+    pub user: User,
+    /// The seed of the schedule.
+    pub seed: u64,
+    /// Calls a second.
+    pub rate_per_s: f64,
+    /// How long calls are sent.
+    pub duration: Duration,
+    /// How long a call may take in all.
+    pub answer_timeout: Duration,
+    /// The nodes' addresses for callers.
+    pub nodes: Vec<SocketAddr>,
+    /// The engines, whose counters are read.
+    pub engines: Vec<SocketAddr>,
+    /// The plain services, whose runs are read.
+    pub services: Vec<SocketAddr>,
+    /// Price of one engine, in millicents an hour.
+    pub engine_price_millicents_per_h: u64,
+}
+
+struct Shared {
+    plan: LoadPlan,
+    caller: Caller,
+    tally: Mutex<Tally>,
+    prompts: Mutex<PromptLog>,
+}
+
+/// Sends the schedule and waits for every answer; cancelling stops sending.
+pub async fn run(plan: LoadPlan, cancel: &CancellationToken) -> Result<LoadResult, LoadError> {
+    if plan.nodes.is_empty() {
+        return Err(LoadError::NoNodes);
+    }
+    let arrivals = schedule(plan.user, plan.seed, plan.rate_per_s, plan.duration);
+    let caller = Caller::new();
+    let watch = EngineWatch::start(&caller, &plan.engines).await;
+    let tally = Mutex::new(Tally::new(plan.user));
+    let shared = Arc::new(Shared { plan, caller, tally, prompts: Mutex::default() });
+    let watching = CancellationToken::new();
+    let watcher = tokio::spawn(watch_engines(shared.clone(), watch, watching.clone()));
+    let calls = TaskTracker::new();
+    send_all(&shared, arrivals, &calls, cancel).await;
+    calls.close();
+    calls.wait().await;
+    watching.cancel();
+    let watch = watcher.await.ok();
+    let runs = read_runs(&shared).await;
+    Ok(result(&shared, watch, &runs))
+}
+
+async fn send_all(
+    shared: &Arc<Shared>,
+    arrivals: Vec<Arrival>,
+    calls: &TaskTracker,
+    cancel: &CancellationToken,
+) {
+    let began_at = Instant::now();
+    for (number, arrival) in arrivals.into_iter().enumerate() {
+        let planned_at = began_at + arrival.at;
+        tokio::select! {
+            () = tokio::time::sleep_until(planned_at.into()) => {}
+            () = cancel.cancelled() => return,
+        }
+        calls.spawn(send_one(shared.clone(), arrival, number, planned_at));
+    }
+}
+
+async fn send_one(shared: Arc<Shared>, arrival: Arrival, number: usize, planned_at: Instant) {
+    let key = workspace_key(&arrival.workspace);
+    let identity = Identity { workspace: &arrival.workspace, key: &key };
+    let (caller, nodes) = (&shared.caller, shared.plan.nodes.as_slice());
+    match &arrival.work {
+        Work::Ask(model_call) => {
+            let request = model_call.chat_request();
+            let class = arrival.class.as_str();
+            let plan = Ask {
+                caller,
+                nodes,
+                first_node: number,
+                identity,
+                class,
+                request: &request,
+                planned_at,
+            };
+            let seen = ask(&plan, shared.plan.answer_timeout).await;
+            if !matches!(seen.ending, Ending::Refused(_)) {
+                lock(&shared.prompts).add(&request.model, &request.prompt_text());
+            }
+            lock(&shared.tally).add_ask(&arrival.workspace, class, &seen);
+        }
+        Work::Call(plain) => {
+            let told = call(caller, nodes, number, &identity, &arrival.class, plain).await;
+            lock(&shared.tally).add_call(&arrival.workspace, plain, &told);
+        }
+    }
+}
+
+async fn watch_engines(
+    shared: Arc<Shared>,
+    mut watch: EngineWatch,
+    stop: CancellationToken,
+) -> EngineWatch {
+    while !stop.is_cancelled() {
+        tokio::select! {
+            () = tokio::time::sleep(ENGINE_PERIOD) => {}
+            () = stop.cancelled() => {}
+        }
+        watch.read(&shared.caller).await;
+    }
+    watch
+}
+
+async fn read_runs(shared: &Shared) -> Vec<CountedRun> {
+    let mut runs = Vec::new();
+    for service in &shared.plan.services {
+        let page = shared.caller.get(*service, RUNS_PATH).await;
+        let read: Option<Vec<CountedRun>> =
+            page.and_then(|page| serde_json::from_slice(&page).ok());
+        runs.extend(read.unwrap_or_default());
+    }
+    runs
+}
+
+fn result(shared: &Shared, watch: Option<EngineWatch>, runs: &[CountedRun]) -> LoadResult {
+    let plan = &shared.plan;
+    let mut tally = lock(&shared.tally);
+    if !plan.services.is_empty() {
+        tally.compare_runs(runs);
+    }
+    let engines = watch.map(|watch| watch.totals()).unwrap_or_default();
+    let prompts = std::mem::take(&mut *lock(&shared.prompts));
+    let least_prefill_tokens = prompts.least_prefill_tokens();
+    let mut result = LoadResult {
+        label: plan.label.clone(),
+        scenario: plan.scenario.clone(),
+        user: plan.user.name().to_string(),
+        seed: plan.seed,
+        rate_per_s: plan.rate_per_s,
+        duration_s: plan.duration.as_secs_f64(),
+        groups: tally.groups(),
+        reasons: tally.reasons(),
+        calls: tally.calls(),
+        engines,
+        least_prefill_tokens,
+        recomputed_tokens: engines.prefilled_tokens.saturating_sub(least_prefill_tokens),
+        cost_millicents_per_1000_tokens: 0.0,
+    };
+    result.cost_millicents_per_1000_tokens = cost(plan, &result);
+    result
+}
+
+/// The price of all engines over the run, for each 1,000 tokens of answers on target.
+fn cost(plan: &LoadPlan, result: &LoadResult) -> f64 {
+    let all = result.groups.iter().filter(|group| group.workspace == "*");
+    let tokens: u64 = all.map(|group| group.on_target_tokens).sum();
+    let hours = plan.duration.as_secs_f64() / SECONDS_PER_H;
+    let price = plan.engine_price_millicents_per_h as f64 * plan.engines.len() as f64 * hours;
+    if tokens == 0 { 0.0 } else { price * TOKENS_PER_COST / tokens as f64 }
+}
+
+/// A panic in another task does not make the counts less true.
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/fl-load/tests/answers.rs
@@ -0,0 +1,71 @@
+//! Answers are checked token by token, out of bytes that arrive in any pieces.
+
+#![allow(clippy::unwrap_used, reason = "a step that fails shall fail the test")]
+
+use fl_load::{AnswerCheck, EventReader, Step, StreamEvent};
+use fl_protocol::chat::{ChatChunk, END_MARKER, MOVED_EVENT, PROBLEM_EVENT, RESTART_EVENT};
+use fl_protocol::chat::{ChatMessage, ChatRequest, ChunkChoice, ChunkDelta};
+use fl_protocol::engine::stand_in_token;
+use rstest::rstest;
+
+fn request(content: &str) -> ChatRequest {
+    let message = ChatMessage { role: "user".to_string(), content: content.to_string() };
+    let model = "fitting".to_string();
+    ChatRequest { model, messages: vec![message], stream: true, max_tokens: 3 }
+}
+
+fn token(content: &str, id: u64) -> StreamEvent {
+    let content = stand_in_token(&request(content).prompt_text(), id);
+    let choices = vec![ChunkChoice { index: 0, delta: ChunkDelta { content } }];
+    let data = serde_json::to_string(&ChatChunk { id: String::new(), choices }).unwrap();
+    StreamEvent { id: Some(id.to_string()), name: String::new(), data }
+}
+
+fn named(name: &str, data: &str) -> StreamEvent {
+    StreamEvent { id: None, name: name.to_string(), data: data.to_string() }
+}
+
+/// A step without its texts.
+fn letter(step: &Step) -> char {
+    match step {
+        Step::Token => 't',
+        Step::Ignored => 'i',
+        Step::Restarted => 'r',
+        Step::Moved => 'm',
+        Step::Whole => 'w',
+        Step::Problem(_) => 'p',
+        Step::Wrong(_) => '!',
+    }
+}
+
+#[rstest]
+#[case::whole(&[token("own", 0), token("own", 1), token("own", 2), named("", END_MARKER)], "tttw")]
+#[case::too_short(&[token("own", 0), named("", END_MARKER)], "t!")]
+#[case::other_answer(&[token("own", 0), token("other", 1)], "t!")]
+#[case::skipped(&[token("own", 0), token("own", 2)], "t!")]
+#[case::twice(&[token("own", 0), token("own", 0)], "t!")]
+#[case::restarted(&[token("own", 0), named(RESTART_EVENT, "x"), token("own", 0)], "trt")]
+#[case::moved(&[token("own", 0), named(MOVED_EVENT, "")], "tm")]
+#[case::problem(&[named(PROBLEM_EVENT, "{}")], "p")]
+#[case::comment(&[named("", ""), token("own", 0)], "it")]
+#[case::no_chunk(&[named("", "hello")], "!")]
+#[test]
+fn steps(#[case] events: &[StreamEvent], #[case] expected: &str) {
+    let mut check = AnswerCheck::new(&request("own"));
+    let letters: String = events.iter().map(|event| letter(&check.take(event))).collect();
+    assert_eq!(letters, expected);
+}
+
+#[rstest]
+#[case::byte_by_byte(1)]
+#[case::in_threes(3)]
+#[case::at_once(1_000)]
+#[test]
+fn split_events(#[case] piece_bytes: usize) {
+    let text = ": comment\n\nid: 7\ndata: a\ndata: b\n\nevent: moved\ndata:\n\nid: 8\ndata: unfini";
+    let mut reader = EventReader::default();
+    let events: Vec<StreamEvent> =
+        text.as_bytes().chunks(piece_bytes).flat_map(|piece| reader.take(piece)).collect();
+    let seven = StreamEvent { id: Some("7".to_string()), ..named("", "a\nb") };
+    assert_eq!(events, [named("", ""), seven, named("moved", "")]);
+}
