Add the operators' library, its examples, and the pages for operators and callers

Cause: configurations had to be written by hand, and nothing told operators and callers what to expect.

Change: python/filbertlead_config declares workspaces, classes, models, adapters, limits and services, finds all faults in one pass and prints INI, with a worked example for each user; what they print is committed under docs/examples. Pages: OPERATING, CONFIGURATION, API, GLOSSARY, CONTRIBUTING and the design notes 010 and 020. scripts/test.sh runs the library's tests where there is python3.

Proof: fl-ctl's test pages (9) compares the reference tables with the readers of fl-config, problem and event kinds with fl-protocol, and follows every relative link; the library's tests (5) compare printed and committed examples.

--- /dev/null
+++ b/crates/fl-ctl/tests/pages.rs
@@ -0,0 +1,194 @@
+//! The pages agree with the code: links resolve, references are complete, examples are accepted.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic as tests do")]
+
+use fl_config::{KnownKey, Settings, configuration_reference, read_configuration};
+use fl_protocol::Problem;
+use rstest::rstest;
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..").canonicalize().unwrap()
+}
+
+fn read(path: &str) -> String {
+    fs::read_to_string(root().join(path)).unwrap()
+}
+
+/// All files with an extension, without those of builds and hidden folders.
+fn files(folder: &Path, extension: &str) -> Vec<PathBuf> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(folder).unwrap().flatten() {
+        let (path, name) = (entry.path(), entry.file_name());
+        let name = name.to_string_lossy();
+        if path.is_dir() && name != "target" && !name.starts_with('.') {
+            found.extend(files(&path, extension));
+        } else if path.extension().is_some_and(|found| found == extension) {
+            found.push(path);
+        }
+    }
+    found
+}
+
+/// The targets of links such as `[text](target)`.
+fn link_targets(text: &str) -> Vec<String> {
+    let after = text.split("](").skip(1);
+    after.filter_map(|rest| rest.split(')').next()).map(String::from).collect()
+}
+
+fn anchors(text: &str) -> Vec<String> {
+    let headings = text.lines().filter(|line| line.starts_with('#'));
+    let kept = |c: &char| c.is_alphanumeric() || matches!(c, ' ' | '-' | '_');
+    let anchor = |line: &str| {
+        let title = line.trim_start_matches('#').trim().to_lowercase();
+        title.chars().filter(kept).collect::<String>().replace(' ', "-")
+    };
+    headings.map(anchor).collect()
+}
+
+fn resolves(page: &Path, target: &str) -> bool {
+    let (path, anchor) = target.split_once('#').unwrap_or((target, ""));
+    let file = if path.is_empty() { page.to_path_buf() } else { page.parent().unwrap().join(path) };
+    let has_anchor = || {
+        anchor.is_empty()
+            || anchors(&fs::read_to_string(&file).unwrap()).contains(&anchor.to_string())
+    };
+    file.exists() && has_anchor()
+}
+
+#[test]
+fn links_resolve() {
+    let mut broken = Vec::new();
+    for page in files(&root(), "md") {
+        for target in link_targets(&fs::read_to_string(&page).unwrap()) {
+            if !target.starts_with("http") && !resolves(&page, &target) {
+                broken.push(format!("{}: {target}", page.display()));
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+/// The rows of all tables with four columns or more, without their marks.
+fn table_rows(text: &str) -> Vec<Vec<String>> {
+    let rows = text.lines().filter(|line| line.starts_with("| `"));
+    let cells = |line: &str| {
+        let inner = line.trim().trim_matches('|');
+        inner.split(" | ").map(|cell| cell.trim().replace('`', "")).collect()
+    };
+    rows.map(cells).collect()
+}
+
+#[rstest]
+#[case::settings("docs/OPERATING.md", Settings::reference())]
+#[case::configuration("docs/CONFIGURATION.md", configuration_reference())]
+fn reference_tables(#[case] page: &str, #[case] known: Vec<KnownKey>) {
+    let rows = table_rows(&read(page));
+    let described: Vec<&Vec<String>> = rows.iter().filter(|row| row[0].starts_with('[')).collect();
+    for (key, row) in known.iter().zip(&described) {
+        let default = key.default.clone().unwrap_or_else(|| "required".to_string());
+        let default = if default.is_empty() { "empty".to_string() } else { default };
+        let expected = [format!("[{}] {}", key.section, key.key), key.allowed.clone(), default];
+        assert_eq!(row[..3], expected, "correct the row in {page}");
+        assert!(row.len() == 4 && !row[3].is_empty(), "say what {expected:?} means in {page}");
+    }
+    assert_eq!(described.len(), known.len(), "{page} lists too many or too few keys");
+}
+
+/// The quoted words between two marks of a source file.
+fn quoted_words(source: &str, from: &str, to: &str) -> Vec<String> {
+    let text = read(source);
+    let start = text.find(from).unwrap();
+    let end = start + text[start..].find(to).unwrap();
+    text[start..end].split('"').skip(1).step_by(2).map(String::from).collect()
+}
+
+#[test]
+fn problem_kinds() {
+    let kinds = quoted_words("crates/fl-protocol/src/problem.rs", "pub fn kind", "pub fn status");
+    let mut listed: Vec<&str> = all_problems().iter().map(Problem::kind).collect();
+    listed.sort_unstable();
+    let mut kinds: Vec<&str> = kinds.iter().map(String::as_str).collect();
+    kinds.sort_unstable();
+    assert_eq!(listed, kinds, "add the kind to all_problems");
+}
+
+/// One problem of each kind.
+fn all_problems() -> Vec<Problem> {
+    let retry_after = Duration::from_secs(1);
+    let text = String::new;
+    vec![
+        Problem::Malformed(text()),
+        Problem::UnknownWorkspace(text()),
+        Problem::WrongKey,
+        Problem::NotAllowed { kind: text(), name: text() },
+        Problem::BodyTooLarge { limit_bytes: 1 },
+        Problem::KeyReused,
+        Problem::KeyRequired(text()),
+        Problem::UnknownRequest(text()),
+        Problem::OverLimit { workspace: text(), retry_after },
+        Problem::Overloaded { retry_after },
+        Problem::NoBackend { retry_after },
+        Problem::PlatformUnavailable { retry_after },
+        Problem::OutcomeUnknown,
+        Problem::StillRunning { retry_after },
+        Problem::Quarantined,
+        Problem::GivenUp { retry_after },
+        Problem::NotReady { reason: text(), retry_after },
+        Problem::Cancelled,
+        Problem::Internal(text()),
+    ]
+}
+
+#[test]
+fn problem_tables() {
+    let (api, operating) = (read("docs/API.md"), read("docs/OPERATING.md"));
+    for problem in all_problems() {
+        let (kind, status) = (problem.kind(), problem.status());
+        let done = serde_json::to_string(&problem.what_was_done()).unwrap().replace('"', "`");
+        let row = format!("| `{kind}` | {status} | {done} |");
+        assert!(api.contains(&row), "docs/API.md lacks {row}");
+        let row = format!("| `{kind}` | {status} |");
+        assert!(operating.contains(&row), "docs/OPERATING.md lacks {row}");
+    }
+}
+
+#[test]
+fn event_kinds() {
+    let text = read("crates/fl-protocol/src/event.rs");
+    let variants = text.split("pub enum EventKind {").nth(1).unwrap();
+    let names = variants.lines().map(str::trim).filter(|line| line.ends_with(','));
+    let rows = table_rows(&read("docs/OPERATING.md"));
+    let missing: Vec<String> = names
+        .map(|name| kebab(name.trim_end_matches(',')))
+        .filter(|name| !rows.iter().any(|row| row[0].split(", ").any(|cell| cell == name)))
+        .collect();
+    assert!(missing.is_empty(), "{missing:?}");
+}
+
+fn kebab(name: &str) -> String {
+    let mut text = String::new();
+    for character in name.chars() {
+        if character.is_uppercase() && !text.is_empty() {
+            text.push('-');
+        }
+        text.extend(character.to_lowercase());
+    }
+    text
+}
+
+#[rstest]
+#[case::piton_frost("docs/examples/piton_frost.ini")]
+#[case::zagadka("docs/examples/zagadka.ini")]
+fn example_configurations(#[case] path: &str) {
+    let configuration = read_configuration(&read(path));
+    assert_eq!(configuration.map(|found| found.workspaces.len()), Ok(5));
+}
+
+#[test]
+fn example_settings() {
+    let settings = Settings::read(&read("docs/examples/node.ini"));
+    assert_eq!(settings.map(|found| found.node.vm), Ok("entry-a1".to_string()));
+}
--- /dev/null
+++ b/python/examples/__init__.py
@@ -0,0 +1,1 @@
+"""A worked example for each of the two users."""
--- /dev/null
+++ b/python/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the operators' library."""
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,3 +12,8 @@
   done < KNOWN-RED.txt
 fi
 cargo test --workspace --locked -- ${skip[@]+"${skip[@]}"}
+if command -v python3 > /dev/null; then
+  python3 -m unittest discover -s python -q
+else
+  echo "not run: tests of the operators' library, since there is no python3"
+fi
