Draw the time line on an elastic axis and prove it over processes

Cause: on a linear axis the events of one hand-over fell on one spot of a page that spans seconds, and an effect could be drawn left of its cause.

Proof: drawn_order checks that a request's path runs left to right, also within one millisecond; tests/time_line.rs moves a request between processes and reads its way from the merged pages. With SIGTERM and the default drain the request ended on its first node, so the test sets drain_timeout_ms = 1.

--- a/crates/fl-timeline/src/html.rs
+++ b/crates/fl-timeline/src/html.rs
@@ -1,6 +1,7 @@
 //! Prints a time line as one HTML page with an embedded SVG drawing; it needs no other file.
 
 mod drawing;
+mod mark;
 mod scale;
 mod table;
 
--- a/crates/fl-timeline/tests/time_line.rs
+++ b/crates/fl-timeline/tests/time_line.rs
@@ -124,6 +124,23 @@
     assert_eq!(page.matches("class=\"mark\"").count(), 4);
     assert_eq!(page.matches("class=\"path\"").count(), 1);
     assert_eq!(page.matches("class=\"lane\"").count(), 2);
+    assert_eq!(page.matches("class=\"label\"").count(), 4);
+}
+
+/// Within one millisecond, too, an effect stands right of its cause.
+#[test]
+fn drawn_order() {
+    let mut time_line = two_nodes();
+    time_line.events.iter_mut().for_each(|event| event.stamp.time_ms = 1000);
+    for time_line in [two_nodes(), time_line] {
+        let page = render_html(&time_line, "order");
+        let points = page.split("points=\"").nth(1).unwrap().split('"').next().unwrap();
+        let places: Vec<f64> = points
+            .split(' ')
+            .map(|point| point.split(',').next().unwrap().parse().unwrap())
+            .collect();
+        assert!(places.is_sorted_by(|a, b| a < b) && places.len() == 3, "{places:?}");
+    }
 }
 
 #[test]
--- /dev/null
+++ b/tests/time_line.rs
@@ -0,0 +1,49 @@
+//! The time line follows a request over the nodes that carried it.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic as tests do")]
+
+use fl_platform::{HttpClient, Reuse};
+use fl_protocol::event::EventKind;
+use fl_testbed::caller::chat;
+use fl_testbed::{Testbed, TestbedOptions};
+use fl_timeline::text::render_text;
+use fl_timeline::{TimeLinePage, merge};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const READ_TIMEOUT: Duration = Duration::from_secs(20);
+
+async fn page(admin: SocketAddr) -> TimeLinePage {
+    let client = HttpClient::new(Reuse::Never);
+    client.get_json(&format!("http://{admin}/timeline"), READ_TIMEOUT).await.unwrap()
+}
+
+#[tokio::test]
+async fn request_moves() {
+    let options = TestbedOptions::new(env!("CARGO_BIN_EXE_filbertlead"));
+    let mut bed = Testbed::start(options.setting("limits", "drain_timeout_ms = 1")).await;
+    let stream = bed.open(0, &chat("plan a night", 200), "plan", None).await;
+    let mut stream = stream.unwrap_or_else(|refusal| panic!("{refusal:?}"));
+    stream.next().await;
+
+    // The ring of the first owner goes with its process, so it is read before.
+    let mut pages = vec![page(bed.nodes[0].admin).await];
+    bed.nodes[0].terminate();
+    let outcome = bed.finish(stream, &[1, 2, 3, 4, 5]).await;
+    assert!(outcome.whole, "{outcome:?}");
+    bed.nodes[0].wait().await;
+    for node in &bed.nodes[1..] {
+        pages.push(page(node.admin).await);
+    }
+
+    let mut time_line = merge(pages);
+    time_line.events.retain(|event| event.request_id.as_ref() == Some(&outcome.request_id));
+    let text = render_text(&time_line);
+    let kinds: Vec<EventKind> = time_line.events.iter().map(|event| event.kind).collect();
+    let place = |kind| kinds.iter().position(|found| *found == kind);
+    let steps = [EventKind::GuardianPlaced, EventKind::Accepted, EventKind::Whole];
+    let places = steps.map(place);
+    assert!(places[0].is_some() && places.is_sorted(), "{text}");
+    assert_eq!(kinds.last(), Some(&EventKind::Whole), "{text}");
+    assert_ne!(time_line.events[0].vm, time_line.events[kinds.len() - 1].vm, "{text}");
+}
