--- a/crates/fl-kernel/src/services.rs
+++ b/crates/fl-kernel/src/services.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use fl_protocol::call::{ServiceAnswer, ServiceCall};
 use fl_protocol::engine::LoadReport;
-use fl_protocol::event::EventKind;
+use fl_protocol::event::{EventKind, Stamp};
 use fl_protocol::platform::{Vm, VmKind};
 use fl_protocol::{
     AttemptNumber, BlockHash, CallClass, Configuration, Fingerprint, Member, OwnerEpoch, Problem,
@@ -335,12 +335,24 @@
     fn vms(&self) -> Vec<Vm>;
     /// Takes word that a connection did not prove the fleet key.
     fn stranger_refused(&self, address: std::net::SocketAddr, reason: String);
+    /// See [`EventLog::stamp`].
+    fn stamp(&self) -> Stamp {
+        Stamp::default()
+    }
+    /// See [`EventLog::observe`].
+    fn observe(&self, _stamp: Stamp) {}
 }
 
 /// Takes events for the time line.
 pub trait EventLog: Send + Sync {
     /// Records an event.
     fn record(&self, event: EventKind, request: Option<RequestId>, detail: String);
+    /// Gives a stamp for a message to a peer; a log without a clock gives the least one.
+    fn stamp(&self) -> Stamp {
+        Stamp::default()
+    }
+    /// Takes the stamp of a peer's message, so that later events here are stamped after it.
+    fn observe(&self, _stamp: Stamp) {}
 }
 
 /// Names an attempt, for logs and stream ids.
--- a/crates/fl-node/src/admin.rs
+++ b/crates/fl-node/src/admin.rs
@@ -26,6 +26,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+/// The name under which the metrics are registered.
+const METRICS: &str = "metrics";
 /// How often histograms are folded, so that their memory stays bounded between two readings.
 const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 /// How long a reader may take to send the head of its request.
@@ -41,7 +43,7 @@
 pub(crate) struct AdminState {
     pub(crate) context: ServiceContext,
     pub(crate) time_line: Arc<TimeLineLog>,
-    pub(crate) metrics: PrometheusHandle,
+    pub(crate) metrics: Arc<PrometheusHandle>,
 }
 
 impl AdminState {
@@ -50,15 +52,20 @@
     }
 }
 
-/// Starts to serve the admin pages; needs the time line, and installs the process's metrics
-/// recorder.
+/// Installs the process's metrics recorder; what is counted before that is lost.
+pub fn install_metrics(context: &ServiceContext) -> Result<(), StartError> {
+    let recorder = PrometheusBuilder::new().install_recorder();
+    let handle = recorder.map_err(|error| StartError::Metrics(error.to_string()))?;
+    context.registry.register(METRICS, Arc::new(handle))?;
+    Ok(())
+}
+
+/// Starts to serve the admin pages; needs the time line and the metrics.
 pub fn start(context: &ServiceContext) -> Result<(), StartError> {
     let address = context.settings.listen.admin;
     let listener = listen(address)
         .map_err(|error| StartError::Listen(address.to_string(), error.to_string()))?;
-    let metrics = PrometheusBuilder::new()
-        .install_recorder()
-        .map_err(|error| StartError::Metrics(error.to_string()))?;
+    let metrics = context.registry.find::<PrometheusHandle>(METRICS)?;
     let time_line = context.registry.find::<TimeLineLog>(TIME_LINE)?;
     let state = Arc::new(AdminState { context: context.clone(), time_line, metrics });
     context.spawn(fold_metrics(state.metrics.clone(), context.cancel.clone()));
@@ -77,7 +84,7 @@
     TcpListener::from_std(socket.into())
 }
 
-async fn fold_metrics(metrics: PrometheusHandle, cancel: CancellationToken) {
+async fn fold_metrics(metrics: Arc<PrometheusHandle>, cancel: CancellationToken) {
     let mut interval = tokio::time::interval(METRICS_UPKEEP_INTERVAL);
     while cancel.run_until_cancelled(interval.tick()).await.is_some() {
         metrics.run_upkeep();
--- a/crates/fl-node/src/event_log.rs
+++ b/crates/fl-node/src/event_log.rs
@@ -52,16 +52,6 @@
         }
     }
 
-    /// Gives a stamp for a message to a peer.
-    pub fn stamp(&self) -> Stamp {
-        self.state.lock().clock.tick(unix_ms())
-    }
-
-    /// Takes the stamp of a peer's message, so that events after it are stamped later.
-    pub fn observe(&self, stamp: Stamp) {
-        self.state.lock().clock.observe(stamp, unix_ms());
-    }
-
     /// The events that a filter lets through, with the node's clock.
     pub fn page(&self, filter: &EventFilter) -> TimeLinePage {
         let state = self.state.lock();
@@ -91,12 +81,21 @@
         metrics::counter!("fl_events_total", "kind" => name).increment(1);
         self.push(kind, request_id, detail);
     }
+
+    fn stamp(&self) -> Stamp {
+        self.state.lock().clock.tick(unix_ms())
+    }
+
+    fn observe(&self, stamp: Stamp) {
+        self.state.lock().clock.observe(stamp, unix_ms());
+    }
 }
 
 fn log_event(level: Level, name: &str, request_id: Option<&str>, detail: &str) {
+    let message = if detail.is_empty() { name.to_string() } else { format!("{name}: {detail}") };
     match request_id {
-        Some(id) => spdlog::log!(level, "{name}: {detail}", kv: { request_id = id }),
-        None => spdlog::log!(level, "{name}: {detail}"),
+        Some(id) => spdlog::log!(level, "{message}", kv: { request_id = id }),
+        None => spdlog::log!(level, "{message}"),
     }
 }
 
--- a/crates/fl-node/src/run.rs
+++ b/crates/fl-node/src/run.rs
@@ -75,6 +75,7 @@
     readiness: Arc<Readiness>,
 ) -> Result<Arc<Streams>, StartError> {
     logging::start(context)?;
+    admin::install_metrics(context)?;
     event_log::start(context)?;
     interim::start(context)?;
     membership::start(context).await?;
--- a/crates/fl-node/src/streams/host.rs
+++ b/crates/fl-node/src/streams/host.rs
@@ -9,7 +9,7 @@
     Peers, Quarantine, TokenBatch, Verdict,
 };
 use fl_peer::PeerOptions;
-use fl_protocol::event::EventKind;
+use fl_protocol::event::{EventKind, Stamp};
 use fl_protocol::platform::{Vm, VmKind};
 use fl_protocol::{Configuration, OwnerEpoch, RequestId, RequestRecord, TokenOffset, VmName};
 use std::net::SocketAddr;
@@ -145,4 +145,15 @@
         metrics::counter!("fl_strangers_refused_total").increment(1);
         self.record(EventKind::StrangerRefused, None, format!("{address}: {reason}"));
     }
+
+    fn stamp(&self) -> Stamp {
+        let events = self.find::<dyn EventLog>(names::EVENT_LOG);
+        events.map_or_else(Stamp::default, |events| events.stamp())
+    }
+
+    fn observe(&self, stamp: Stamp) {
+        if let Some(events) = self.find::<dyn EventLog>(names::EVENT_LOG) {
+            events.observe(stamp);
+        }
+    }
 }
--- a/crates/fl-node/tests/admin.rs
+++ b/crates/fl-node/tests/admin.rs
@@ -86,6 +86,7 @@
 #[tokio::test]
 async fn admin_pages() {
     let context = context();
+    admin::install_metrics(&context).unwrap();
     let log = event_log::start(&context).unwrap();
     admin::start(&context).unwrap();
     let root = format!("http://{}", context.settings.listen.admin);
--- a/crates/fl-peer/schema/peer.capnp
+++ b/crates/fl-peer/schema/peer.capnp
@@ -7,6 +7,12 @@
   low @1 :UInt64;
 }
 
+# A stamp of the sender's hybrid logical clock, so that events at the receiver come after it.
+struct Stamp {
+  timeMs @0 :UInt64;
+  counter @1 :UInt32;
+}
+
 struct StreamPlace {
   runner @0 :Text;
   address @1 :Text;
@@ -75,23 +81,24 @@
 
 interface Peer {
   # Keeps a copy of a record as its guardian.
-  putRecord @0 (record :RequestRecord) -> ();
+  putRecord @0 (record :RequestRecord, stamp :Stamp) -> (stamp :Stamp);
   # Drops the copy; the request ended.
   dropRecord @1 (id :Id, epoch :UInt32) -> ();
   # The record of a request, from its owner or its guardian.
   findRecord @2 (id :Id) -> (found :Bool, record :RequestRecord);
   # Makes the receiver the owner.
-  handOver @3 (handed :HandedRequest) -> ();
+  handOver @3 (handed :HandedRequest, stamp :Stamp) -> (stamp :Stamp);
   # Takes a request from its guardian.
-  takeOver @4 (id :Id, newOwner :Text, seenEpoch :UInt32) -> (found :Bool, handed :HandedRequest);
+  takeOver @4 (id :Id, newOwner :Text, seenEpoch :UInt32, stamp :Stamp)
+    -> (found :Bool, handed :HandedRequest, stamp :Stamp);
   # Reads tokens from the owner, waiting for the first.
   readTokens @5 (id :Id, offset :UInt64, waitMs :UInt64) -> (found :Bool, batch :TokenBatch);
   # What the owner of a claim says of it.
-  claimStatus @6 (id :Id) -> (status :ClaimStatus);
+  claimStatus @6 (id :Id, stamp :Stamp) -> (status :ClaimStatus, stamp :Stamp);
   # The configuration in force, if above a version; a JSON body as in the object store.
   fetchConfiguration @7 (aboveVersion :UInt64) -> (found :Bool, bodyJson :Text);
   # Small news.
-  tell @8 (news :List(News)) -> ();
+  tell @8 (news :List(News), stamp :Stamp) -> (stamp :Stamp);
   # The list of VMs as the peer knows it, a JSON body as the platform gives it.
   fetchVms @9 () -> (vmsJson :Text);
 }
--- a/crates/fl-peer/src/client.rs
+++ b/crates/fl-peer/src/client.rs
@@ -4,7 +4,9 @@
 use crate::connections::Connections;
 use crate::peer_capnp::peer;
 use async_trait::async_trait;
-use fl_kernel::services::{ClaimStatus, HandedRequest, News, PeerError, Peers, TokenBatch};
+use fl_kernel::services::{
+    ClaimStatus, HandedRequest, News, PeerError, PeerHost, Peers, TokenBatch,
+};
 use fl_protocol::platform::Vm;
 use fl_protocol::{
     Configuration, Member, OwnerEpoch, RequestId, RequestRecord, TokenOffset, VmName,
@@ -30,11 +32,12 @@
 #[derive(Clone)]
 pub struct PeerLink {
     jobs: mpsc::UnboundedSender<Job>,
+    host: Arc<dyn PeerHost>,
 }
 
 impl PeerLink {
-    pub(crate) fn new(jobs: mpsc::UnboundedSender<Job>) -> Self {
-        PeerLink { jobs }
+    pub(crate) fn new(jobs: mpsc::UnboundedSender<Job>, host: Arc<dyn PeerHost>) -> Self {
+        PeerLink { jobs, host }
     }
 
     async fn call<T: Send + 'static>(
@@ -103,10 +106,17 @@
 impl Peers for PeerLink {
     async fn put_record(&self, to: &Member, record: &RequestRecord) -> Result<(), PeerError> {
         let record = record.clone();
+        let host = self.host.clone();
         let call = move |client: peer::Client| -> Answer<()> {
             let mut request = client.put_record_request();
             codec::write_record(request.get().init_record(), &record);
-            Box::pin(async move { request.send().promise.await.map(|_| ()) })
+            codec::write_stamp(request.get().init_stamp(), host.stamp());
+            let host = host.clone();
+            Box::pin(async move {
+                let response = request.send().promise.await?;
+                host.observe(codec::read_stamp(response.get()?.get_stamp()?));
+                Ok(())
+            })
         };
         self.call(to, CALL_TIMEOUT, call).await
     }
@@ -153,10 +163,17 @@
         tokens: &[String],
     ) -> Result<(), PeerError> {
         let handed = HandedRequest { record: record.clone(), tokens: tokens.to_vec() };
+        let host = self.host.clone();
         let call = move |client: peer::Client| -> Answer<()> {
             let mut request = client.hand_over_request();
             codec::write_handed(request.get().init_handed(), &handed);
-            Box::pin(async move { request.send().promise.await.map(|_| ()) })
+            codec::write_stamp(request.get().init_stamp(), host.stamp());
+            let host = host.clone();
+            Box::pin(async move {
+                let response = request.send().promise.await?;
+                host.observe(codec::read_stamp(response.get()?.get_stamp()?));
+                Ok(())
+            })
         };
         self.call(to, CALL_TIMEOUT, call).await
     }
@@ -169,14 +186,18 @@
         seen_epoch: OwnerEpoch,
     ) -> Result<Option<HandedRequest>, PeerError> {
         let new_owner = new_owner.clone();
+        let host = self.host.clone();
         let call = move |client: peer::Client| -> Answer<Option<HandedRequest>> {
             let mut request = client.take_over_request();
             codec::write_id(request.get().init_id(), id);
             request.get().set_new_owner(&new_owner);
             request.get().set_seen_epoch(seen_epoch);
+            codec::write_stamp(request.get().init_stamp(), host.stamp());
+            let host = host.clone();
             Box::pin(async move {
                 let response = request.send().promise.await?;
                 let results = response.get()?;
+                host.observe(codec::read_stamp(results.get_stamp()?));
                 if !results.get_found() {
                     return Ok(None);
                 }
@@ -215,12 +236,17 @@
         to: &Member,
         id: RequestId,
     ) -> Result<Option<ClaimStatus>, PeerError> {
+        let host = self.host.clone();
         let call = move |client: peer::Client| -> Answer<Option<ClaimStatus>> {
             let mut request = client.claim_status_request();
             codec::write_id(request.get().init_id(), id);
+            codec::write_stamp(request.get().init_stamp(), host.stamp());
+            let host = host.clone();
             Box::pin(async move {
                 let response = request.send().promise.await?;
-                Ok(codec::read_status(response.get()?.get_status()?))
+                let results = response.get()?;
+                host.observe(codec::read_stamp(results.get_stamp()?));
+                Ok(codec::read_status(results.get_status()?))
             })
         };
         self.call(to, CALL_TIMEOUT, call).await
@@ -249,13 +275,20 @@
 
     async fn tell(&self, to: &Member, news: &[News]) -> Result<(), PeerError> {
         let news = news.to_vec();
+        let host = self.host.clone();
         let call = move |client: peer::Client| -> Answer<()> {
             let mut request = client.tell_request();
             let mut list = request.get().init_news(news.len() as u32);
             for (index, item) in news.iter().enumerate() {
                 codec::write_news(list.reborrow().get(index as u32), item);
             }
-            Box::pin(async move { request.send().promise.await.map(|_| ()) })
+            codec::write_stamp(request.get().init_stamp(), host.stamp());
+            let host = host.clone();
+            Box::pin(async move {
+                let response = request.send().promise.await?;
+                host.observe(codec::read_stamp(response.get()?.get_stamp()?));
+                Ok(())
+            })
         };
         self.call(to, CALL_TIMEOUT, call).await
     }
--- a/crates/fl-peer/src/codec.rs
+++ b/crates/fl-peer/src/codec.rs
@@ -1,10 +1,12 @@
 //! Between the shared types and their capnp form.
 
 use crate::peer_capnp::{
-    ClaimStatus as WireStatus, handed_request, id, news, request_record, restart, token_batch,
+    ClaimStatus as WireStatus, handed_request, id, news, request_record, restart, stamp,
+    token_batch,
 };
 use capnp::{Error, Result};
 use fl_kernel::services::{ClaimStatus, HandedRequest, News, TokenBatch, TokenState};
+use fl_protocol::event::Stamp;
 use fl_protocol::request::{Restart, StreamPlace};
 use fl_protocol::{Priority, RequestId, RequestRecord};
 
@@ -17,6 +19,15 @@
     (RequestId::from(id.get_high()) << 64) | RequestId::from(id.get_low())
 }
 
+pub fn write_stamp(mut out: stamp::Builder<'_>, stamp: Stamp) {
+    out.set_time_ms(stamp.time_ms);
+    out.set_counter(stamp.counter);
+}
+
+pub fn read_stamp(stamp: stamp::Reader<'_>) -> Stamp {
+    Stamp { time_ms: stamp.get_time_ms(), counter: stamp.get_counter() }
+}
+
 pub fn write_record(mut out: request_record::Builder<'_>, record: &RequestRecord) {
     write_id(out.reborrow().init_id(), record.id);
     out.set_workspace(&record.workspace);
--- a/crates/fl-peer/src/peer_capnp.rs
+++ b/crates/fl-peer/src/peer_capnp.rs
@@ -227,6 +227,229 @@
     }
 }
 
+pub mod stamp {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_time_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_counter(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_time_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_time_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_counter(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_counter(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(215, 196, 168, 110, 11, 20, 105, 205),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(211, 113, 68, 154, 14, 111, 44, 189),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 83, 116, 97, 109, 112),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 105, 109, 101, 77, 115, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 117, 110, 116, 101, 114, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xcd69_140b_6ea8_c4d7;
+    }
+}
+
 pub mod stream_place {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -3061,11 +3284,19 @@
             pub fn has_record(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3131,6 +3362,22 @@
             pub fn has_record(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_stamp(&mut self, value: crate::peer_capnp::stamp::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_stamp(self, ) -> crate::peer_capnp::stamp::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3143,19 +3390,22 @@
             pub fn get_record(&self) -> crate::peer_capnp::request_record::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
+            pub fn get_stamp(&self) -> crate::peer_capnp::stamp::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(173, 154, 33, 48, 97, 220, 148, 187),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -3163,14 +3413,21 @@
                 ::capnp::word(112, 117, 116, 82, 101, 99, 111, 114),
                 ::capnp::word(100, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 99, 111, 114, 100, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(163, 40, 143, 57, 206, 166, 35, 230),
@@ -3179,10 +3436,19 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(215, 196, 168, 110, 11, 20, 105, 205),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::peer_capnp::request_record::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::peer_capnp::stamp::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3196,9 +3462,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xbb94_dc61_3021_9aad;
         }
     }
@@ -3256,7 +3522,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -3264,12 +3530,20 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
-
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
-        }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
@@ -3318,6 +3592,22 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_stamp(&mut self, value: crate::peer_capnp::stamp::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_stamp(self, ) -> crate::peer_capnp::stamp::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3327,19 +3617,22 @@
             }
         }
         impl Pipeline  {
+            pub fn get_stamp(&self) -> crate::peer_capnp::stamp::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(162, 90, 91, 48, 231, 196, 190, 253),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -3347,9 +3640,28 @@
                 ::capnp::word(112, 117, 116, 82, 101, 99, 111, 114),
                 ::capnp::word(100, 36, 82, 101, 115, 117, 108, 116),
                 ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(215, 196, 168, 110, 11, 20, 105, 205),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <crate::peer_capnp::stamp::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -3361,9 +3673,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xfdbe_c4e7_305b_5aa2;
         }
     }
@@ -4291,11 +4603,19 @@
             pub fn has_handed(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4361,6 +4681,22 @@
             pub fn has_handed(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_stamp(&mut self, value: crate::peer_capnp::stamp::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_stamp(self, ) -> crate::peer_capnp::stamp::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4373,33 +4709,43 @@
             pub fn get_handed(&self) -> crate::peer_capnp::handed_request::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
+            pub fn get_stamp(&self) -> crate::peer_capnp::stamp::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(82, 46, 146, 129, 168, 71, 56, 242),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(104, 97, 110, 100, 79, 118, 101, 114),
                 ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(104, 97, 110, 100, 101, 100, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(240, 236, 102, 97, 165, 135, 159, 130),
@@ -4408,10 +4754,19 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(215, 196, 168, 110, 11, 20, 105, 205),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::peer_capnp::handed_request::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::peer_capnp::stamp::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4425,9 +4780,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xf238_47a8_8192_2e52;
         }
     }
@@ -4485,7 +4840,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -4493,11 +4848,19 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4547,6 +4910,22 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_stamp(&mut self, value: crate::peer_capnp::stamp::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_stamp(self, ) -> crate::peer_capnp::stamp::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4556,19 +4935,22 @@
             }
         }
         impl Pipeline  {
+            pub fn get_stamp(&self) -> crate::peer_capnp::stamp::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(204, 140, 14, 121, 150, 65, 196, 218),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -4576,9 +4958,28 @@
                 ::capnp::word(104, 97, 110, 100, 79, 118, 101, 114),
                 ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(215, 196, 168, 110, 11, 20, 105, 205),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <crate::peer_capnp::stamp::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -4590,9 +4991,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xdac4_4196_790e_8ccc;
         }
     }
@@ -4678,11 +5079,19 @@
             pub fn get_seen_epoch(self) -> u32 {
                 self.reader.get_data_field::<u32>(0)
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4772,6 +5181,22 @@
             pub fn set_seen_epoch(&mut self, value: u32)  {
                 self.builder.set_data_field::<u32>(0, value);
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_stamp(&mut self, value: crate::peer_capnp::stamp::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            }
+            #[inline]
+            pub fn init_stamp(self, ) -> crate::peer_capnp::stamp::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4784,47 +5209,57 @@
             pub fn get_id(&self) -> crate::peer_capnp::id::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
+            pub fn get_stamp(&self) -> crate::peer_capnp::stamp::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(114, 140, 246, 69, 97, 255, 145, 254),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(116, 97, 107, 101, 79, 118, 101, 114),
                 ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 26, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 26, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(117, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(218, 222, 57, 208, 176, 163, 119, 151),
@@ -4851,12 +5286,21 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(215, 196, 168, 110, 11, 20, 105, 205),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::peer_capnp::id::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <crate::peer_capnp::stamp::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4870,9 +5314,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2,3];
             pub(crate) const TYPE_ID: u64 = 0xfe91_ff61_45f6_8c72;
         }
     }
@@ -4950,11 +5394,19 @@
             pub fn has_handed(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5028,6 +5480,22 @@
             pub fn has_handed(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_stamp(&mut self, value: crate::peer_capnp::stamp::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_stamp(self, ) -> crate::peer_capnp::stamp::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5040,19 +5508,22 @@
             pub fn get_handed(&self) -> crate::peer_capnp::handed_request::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
+            pub fn get_stamp(&self) -> crate::peer_capnp::stamp::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(220, 75, 110, 18, 107, 184, 104, 215),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5060,21 +5531,28 @@
                 ::capnp::word(116, 97, 107, 101, 79, 118, 101, 114),
                 ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(102, 111, 117, 110, 100, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5091,11 +5569,20 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(215, 196, 168, 110, 11, 20, 105, 205),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     1 => <crate::peer_capnp::handed_request::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <crate::peer_capnp::stamp::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5109,9 +5596,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
             pub(crate) const TYPE_ID: u64 = 0xd768_b86b_126e_4bdc;
         }
     }
@@ -5691,11 +6178,19 @@
             pub fn has_id(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5761,6 +6256,22 @@
             pub fn has_id(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_stamp(&mut self, value: crate::peer_capnp::stamp::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_stamp(self, ) -> crate::peer_capnp::stamp::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5773,19 +6284,22 @@
             pub fn get_id(&self) -> crate::peer_capnp::id::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
+            pub fn get_stamp(&self) -> crate::peer_capnp::stamp::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(83, 221, 88, 215, 215, 157, 94, 178),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5793,14 +6307,21 @@
                 ::capnp::word(99, 108, 97, 105, 109, 83, 116, 97),
                 ::capnp::word(116, 117, 115, 36, 80, 97, 114, 97),
                 ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 26, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 26, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(218, 222, 57, 208, 176, 163, 119, 151),
@@ -5809,10 +6330,19 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(215, 196, 168, 110, 11, 20, 105, 205),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::peer_capnp::id::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::peer_capnp::stamp::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5826,9 +6356,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xb25e_9dd7_d758_dd53;
         }
     }
@@ -5886,7 +6416,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -5898,11 +6428,19 @@
             pub fn get_status(self) -> ::core::result::Result<crate::peer_capnp::ClaimStatus,::capnp::NotInSchema> {
                 ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5960,6 +6498,22 @@
             pub fn set_status(&mut self, value: crate::peer_capnp::ClaimStatus)  {
                 self.builder.set_data_field::<u16>(0, value as u16);
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_stamp(&mut self, value: crate::peer_capnp::stamp::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_stamp(self, ) -> crate::peer_capnp::stamp::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5969,19 +6523,22 @@
             }
         }
         impl Pipeline  {
+            pub fn get_stamp(&self) -> crate::peer_capnp::stamp::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(255, 89, 110, 185, 83, 15, 24, 168),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5989,14 +6546,21 @@
                 ::capnp::word(99, 108, 97, 105, 109, 83, 116, 97),
                 ::capnp::word(116, 117, 115, 36, 82, 101, 115, 117),
                 ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 116, 97, 116, 117, 115, 0, 0),
                 ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(185, 12, 230, 158, 4, 131, 201, 183),
@@ -6005,10 +6569,19 @@
                 ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(215, 196, 168, 110, 11, 20, 105, 205),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::peer_capnp::ClaimStatus as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::peer_capnp::stamp::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6022,9 +6595,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
             pub(crate) const TYPE_ID: u64 = 0xa818_0f53_b96e_59ff;
         }
     }
@@ -6534,11 +7107,19 @@
             pub fn has_news(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6604,6 +7185,22 @@
             pub fn has_news(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_stamp(&mut self, value: crate::peer_capnp::stamp::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_stamp(self, ) -> crate::peer_capnp::stamp::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6613,33 +7210,43 @@
             }
         }
         impl Pipeline  {
+            pub fn get_stamp(&self) -> crate::peer_capnp::stamp::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(172, 230, 244, 63, 200, 193, 63, 236),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(116, 101, 108, 108, 36, 80, 97, 114),
                 ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(61, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(110, 101, 119, 115, 0, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6652,10 +7259,19 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(215, 196, 168, 110, 11, 20, 105, 205),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::struct_list::Owned<crate::peer_capnp::news::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::peer_capnp::stamp::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6669,9 +7285,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xec3f_c1c8_3ff4_e6ac;
         }
     }
@@ -6729,7 +7345,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -6737,11 +7353,19 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6791,6 +7415,22 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_stamp(self) -> ::capnp::Result<crate::peer_capnp::stamp::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_stamp(&mut self, value: crate::peer_capnp::stamp::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_stamp(self, ) -> crate::peer_capnp::stamp::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_stamp(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6800,28 +7440,50 @@
             }
         }
         impl Pipeline  {
+            pub fn get_stamp(&self) -> crate::peer_capnp::stamp::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(245, 130, 29, 179, 146, 36, 15, 237),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(116, 101, 108, 108, 36, 82, 101, 115),
                 ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(215, 196, 168, 110, 11, 20, 105, 205),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <crate::peer_capnp::stamp::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -6833,9 +7495,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xed0f_2492_b31d_82f5;
         }
     }
--- a/crates/fl-peer/src/server.rs
+++ b/crates/fl-peer/src/server.rs
@@ -1,7 +1,7 @@
 //! What peers may ask of this node.
 
 use crate::codec;
-use crate::peer_capnp::peer;
+use crate::peer_capnp::{peer, stamp};
 use capnp::{Error, capability::Rc};
 use fl_kernel::services::PeerHost;
 use std::sync::Arc;
@@ -12,14 +12,27 @@
     pub host: Arc<dyn PeerHost>,
 }
 
+impl PeerServer {
+    fn observe(&self, stamp: Result<stamp::Reader<'_>, Error>) -> Result<(), Error> {
+        self.host.observe(codec::read_stamp(stamp?));
+        Ok(())
+    }
+
+    fn write_stamp(&self, out: stamp::Builder<'_>) {
+        codec::write_stamp(out, self.host.stamp());
+    }
+}
+
 impl peer::Server for PeerServer {
     async fn put_record(
         self: Rc<Self>,
         params: peer::PutRecordParams,
-        _results: peer::PutRecordResults,
+        mut results: peer::PutRecordResults,
     ) -> Result<(), Error> {
-        let record = codec::read_record(params.get()?.get_record()?)?;
-        self.host.put_record(record);
+        let params = params.get()?;
+        self.observe(params.get_stamp())?;
+        self.host.put_record(codec::read_record(params.get_record()?)?);
+        self.write_stamp(results.get().init_stamp());
         Ok(())
     }
 
@@ -49,10 +62,12 @@
     async fn hand_over(
         self: Rc<Self>,
         params: peer::HandOverParams,
-        _results: peer::HandOverResults,
+        mut results: peer::HandOverResults,
     ) -> Result<(), Error> {
-        let handed = codec::read_handed(params.get()?.get_handed()?)?;
-        self.host.hand_over(handed);
+        let params = params.get()?;
+        self.observe(params.get_stamp())?;
+        self.host.hand_over(codec::read_handed(params.get_handed()?)?);
+        self.write_stamp(results.get().init_stamp());
         Ok(())
     }
 
@@ -64,10 +79,12 @@
         let params = params.get()?;
         let id = codec::read_id(params.get_id()?);
         let new_owner = params.get_new_owner()?.to_string()?;
+        self.observe(params.get_stamp())?;
         if let Some(handed) = self.host.take_over(id, new_owner, params.get_seen_epoch()) {
             results.get().set_found(true);
             codec::write_handed(results.get().init_handed(), &handed);
         }
+        self.write_stamp(results.get().init_stamp());
         Ok(())
     }
 
@@ -92,8 +109,11 @@
         params: peer::ClaimStatusParams,
         mut results: peer::ClaimStatusResults,
     ) -> Result<(), Error> {
-        let id = codec::read_id(params.get()?.get_id()?);
+        let params = params.get()?;
+        let id = codec::read_id(params.get_id()?);
+        self.observe(params.get_stamp())?;
         results.get().set_status(codec::write_status(self.host.claim_status(id)));
+        self.write_stamp(results.get().init_stamp());
         Ok(())
     }
 
@@ -114,10 +134,13 @@
     async fn tell(
         self: Rc<Self>,
         params: peer::TellParams,
-        _results: peer::TellResults,
+        mut results: peer::TellResults,
     ) -> Result<(), Error> {
-        let news = params.get()?.get_news()?.iter().map(codec::read_news);
+        let params = params.get()?;
+        self.observe(params.get_stamp())?;
+        let news = params.get_news()?.iter().map(codec::read_news);
         self.host.told(news.collect::<Result<Vec<_>, _>>()?);
+        self.write_stamp(results.get().init_stamp());
         Ok(())
     }
 
--- a/crates/fl-peer/src/thread.rs
+++ b/crates/fl-peer/src/thread.rs
@@ -35,6 +35,7 @@
     let (tx, rx) = mpsc::unbounded_channel();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     options.listener.set_nonblocking(true)?;
+    let link = PeerLink::new(tx, host.clone());
     let thread = std::thread::Builder::new().name("peer".to_string()).spawn(move || {
         let local = LocalSet::new();
         local.block_on(&runtime, async move {
@@ -42,7 +43,7 @@
             let _ = cancel.run_until_cancelled(serve).await;
         });
     })?;
-    Ok((PeerLink::new(tx), thread))
+    Ok((link, thread))
 }
 
 async fn serve(
--- /dev/null
+++ b/crates/fl-peer/tests/stamps.rs
@@ -0,0 +1,139 @@
+//! Calls between nodes carry stamps both ways, so that events follow their causes.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic as tests do")]
+
+use async_trait::async_trait;
+use fl_kernel::services::{ClaimStatus, HandedRequest, News, PeerHost, Peers, TokenBatch};
+use fl_peer::{PeerLink, PeerOptions};
+use fl_protocol::event::Stamp;
+use fl_protocol::platform::Vm;
+use fl_protocol::{
+    Configuration, Member, MemberState, OwnerEpoch, Priority, RequestId, RequestRecord,
+    TokenOffset, VmName,
+};
+use parking_lot::Mutex;
+use rstest::rstest;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+const CALLER_STAMP: Stamp = Stamp { time_ms: 1_000, counter: 7 };
+const CALLED_STAMP: Stamp = Stamp { time_ms: 2_000, counter: 9 };
+
+/// Gives one stamp and keeps those it is told.
+struct StampHost {
+    own: Stamp,
+    observed: Mutex<Vec<Stamp>>,
+}
+
+#[async_trait]
+impl PeerHost for StampHost {
+    fn put_record(&self, _record: RequestRecord) {}
+    fn drop_record(&self, _id: RequestId, _epoch: OwnerEpoch) {}
+    fn find_record(&self, _id: RequestId) -> Option<RequestRecord> {
+        None
+    }
+    fn hand_over(&self, _handed: HandedRequest) {}
+    fn take_over(&self, _: RequestId, _: VmName, _: OwnerEpoch) -> Option<HandedRequest> {
+        None
+    }
+    async fn read_tokens(&self, _: RequestId, _: TokenOffset, _: Duration) -> Option<TokenBatch> {
+        None
+    }
+    fn claim_status(&self, _id: RequestId) -> Option<ClaimStatus> {
+        None
+    }
+    fn configuration(&self, _above_version: u64) -> Option<Configuration> {
+        None
+    }
+    fn told(&self, _news: Vec<News>) {}
+    fn vms(&self) -> Vec<Vm> {
+        Vec::new()
+    }
+    fn stranger_refused(&self, _address: SocketAddr, _reason: String) {}
+    fn stamp(&self) -> Stamp {
+        self.own
+    }
+    fn observe(&self, stamp: Stamp) {
+        self.observed.lock().push(stamp);
+    }
+}
+
+struct Side {
+    host: Arc<StampHost>,
+    link: PeerLink,
+    member: Member,
+    _stop: DropGuard,
+}
+
+fn start(own: Stamp) -> Side {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let host = Arc::new(StampHost { own, observed: Mutex::new(Vec::new()) });
+    let options = PeerOptions { listener, key: [7; 32], bind_ip: address.ip() };
+    let cancel = CancellationToken::new();
+    let (link, _thread) = fl_peer::start(options, host.clone(), cancel.clone()).unwrap();
+    let member = Member {
+        vm: "b1".to_string(),
+        data_center: "dc-b".to_string(),
+        peer_address: address,
+        gossip_address: address,
+        admin_address: address,
+        incarnation: 1,
+        state: MemberState::Alive,
+    };
+    Side { host, link, member, _stop: cancel.drop_guard() }
+}
+
+fn record() -> RequestRecord {
+    RequestRecord {
+        id: 5,
+        workspace: "desk".to_string(),
+        class: "plan".to_string(),
+        priority: Priority::Deferrable,
+        body_json: "{}".to_string(),
+        fingerprint: 1,
+        owner: "a1".to_string(),
+        guardian: "b1".to_string(),
+        epoch: 1,
+        stream: None,
+        restarts: Vec::new(),
+        accepted_at_ms: 1,
+        deadline_at_ms: 2,
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Call {
+    PutRecord,
+    HandOver,
+    TakeOver,
+    ClaimStatus,
+    Tell,
+}
+
+#[rstest]
+#[case::put_record(Call::PutRecord)]
+#[case::hand_over(Call::HandOver)]
+#[case::take_over(Call::TakeOver)]
+#[case::claim_status(Call::ClaimStatus)]
+#[case::tell(Call::Tell)]
+#[tokio::test]
+async fn both_ways(#[case] call: Call) {
+    let caller = start(CALLER_STAMP);
+    let called = start(CALLED_STAMP);
+    let to = &called.member;
+    let link = &caller.link;
+    let vm = "a1".to_string();
+    let result = match call {
+        Call::PutRecord => link.put_record(to, &record()).await,
+        Call::HandOver => link.hand_over(to, &record(), &[]).await,
+        Call::TakeOver => link.take_over(to, 5, &vm, 1).await.map(|_| ()),
+        Call::ClaimStatus => link.claim_status(to, 5).await.map(|_| ()),
+        Call::Tell => link.tell(to, &[News::Leaving { vm, at_ms: 1 }]).await,
+    };
+    assert_eq!(result, Ok(()));
+    assert_eq!(*called.host.observed.lock(), [CALLER_STAMP]);
+    assert_eq!(*caller.host.observed.lock(), [CALLED_STAMP]);
+}
