Name stray lines of INI files, and prove that any text is read or reported

Cause: a line without '=' was taken for a part of the next key, so the report named a key that nobody wrote and a missing one.

Change: such lines are faults of their own.

Proof: fl-config's settings tests: stray_line (which reported two wrong faults before), any_text over random lines, and files with other line ends, comments and spaces.

--- a/crates/fl-config/src/document.rs
+++ b/crates/fl-config/src/document.rs
@@ -92,10 +92,21 @@
             self.count_duplicate_section(name);
             return;
         }
-        let lines = properties.iter().map(Line::from).collect();
+        let lines = properties.iter().map(|(key, value)| self.read_line(name, key, value));
+        let lines = lines.collect();
         self.sections.push(Section { name: name.to_string(), lines });
     }
 
+    /// The parser takes lines without a '=' for a part of the next key.
+    fn read_line(&mut self, section: &str, key: &str, value: &str) -> Line {
+        let (stray, key) = key.rsplit_once('\n').unwrap_or(("", key));
+        for text in stray.lines().map(str::trim).filter(|text| !text.is_empty()) {
+            let fault = Fault::StrayLine { section: section.to_string(), text: text.to_string() };
+            self.faults.push(fault);
+        }
+        Line { key: key.trim().to_string(), value: value.trim().to_string() }
+    }
+
     fn count_duplicate_section(&mut self, name: &str) {
         let counted = self.faults.iter_mut().find_map(|fault| match fault {
             Fault::DuplicateSection { section, count } if section == name => Some(count),
@@ -110,12 +121,6 @@
     }
 }
 
-impl From<(&str, &str)> for Line {
-    fn from((key, value): (&str, &str)) -> Self {
-        Line { key: key.to_string(), value: value.trim().to_string() }
-    }
-}
-
 /// Reads the keys of one section.
 pub struct SectionReader<'a> {
     document: &'a mut Document,
--- a/crates/fl-config/src/fault.rs
+++ b/crates/fl-config/src/fault.rs
@@ -70,6 +70,13 @@
         /// What to do.
         remedy: String,
     },
+    /// [{section}] {text} is no line of the form key = value; correct or remove it
+    StrayLine {
+        /// The section's name.
+        section: String,
+        /// What stands there.
+        text: String,
+    },
     /// line {line}: {message}; write sections as [name] and lines as key = value
     Syntax {
         /// The line, counted from 1.
--- a/crates/fl-config/tests/settings.rs
+++ b/crates/fl-config/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Settings are checked whole: every fault of a file comes in one report.
 
 use fl_config::{Fault, Settings};
+use proptest::prelude::*;
 use rstest::rstest;
 use std::time::Duration;
 
@@ -72,6 +73,10 @@
     "[log] level stands there 2 times; keep one of the lines"
 )]
 #[case::section_twice("[node]\nvm = b", "[node] stands there 2 times; merge the sections into one")]
+#[case::stray_line(
+    "[log]\nloudly\nlevel = info",
+    "[log] loudly is no line of the form key = value; correct or remove it"
+)]
 #[case::unknown_section(
     "[logs]\nlevel = info",
     "[logs] is no known section: expected one of [node], [listen], [platform], [fleet], [limits], [membership], [routing], [log]; correct or remove it"
@@ -119,3 +124,20 @@
     let report = Settings::load("/nonexistent/node.ini").expect_err("there is no such file");
     assert!(report.to_string().contains("cannot read /nonexistent/node.ini"));
 }
+
+#[rstest]
+#[case::carriage_returns(WHOLE.replace('\n', "\r\n"))]
+#[case::comments(WHOLE.replace("[listen]", "; a comment\n# another\n\n[listen]"))]
+#[case::spaces(WHOLE.replace(" = ", "="))]
+fn same_settings(#[case] text: String) {
+    assert_eq!(Settings::read(&text), Settings::read(WHOLE));
+}
+
+proptest! {
+    /// Whatever stands in a file, it is read or reported.
+    #[test]
+    fn any_text(lines in prop::collection::vec("(\\[[a-z ]{0,9}\\]?|[a-z_]{0,9}[=:]?.{0,9})\\n", 0..9)) {
+        let report = Settings::read(&lines.concat()).err();
+        prop_assert!(report.is_some_and(|report| !report.faults.is_empty()));
+    }
+}
