--- a/crates/fl-ctl/src/commands.rs
+++ b/crates/fl-ctl/src/commands.rs
@@ -6,6 +6,8 @@
 pub mod check;
 pub mod key;
 pub mod load;
+pub mod push;
+pub mod status;
 pub mod timeline;
 
 use crate::error::CommandError;
@@ -23,6 +25,12 @@
     /// See [`load`].
     #[options(help = "offer a mix of calls and report how they were served")]
     Load(load::Arguments),
+    /// See [`push`].
+    #[options(help = "submit a configuration and wait until it is in force")]
+    Push(push::Arguments),
+    /// See [`status`].
+    #[options(help = "print the version in force and the nodes of each data centre")]
+    Status(status::Arguments),
     /// See [`timeline`].
     #[options(help = "merge the events of all nodes into one time line")]
     Timeline(timeline::Arguments),
@@ -35,6 +43,8 @@
             Command::Check(arguments) => check::run(&arguments),
             Command::Key(arguments) => key::run(&arguments),
             Command::Load(arguments) => load::run(&arguments).await,
+            Command::Push(arguments) => push::run(&arguments).await,
+            Command::Status(arguments) => status::run(&arguments).await,
             Command::Timeline(arguments) => timeline::run(&arguments).await,
         }
     }
@@ -45,6 +55,8 @@
             Command::Check(_) => check::EXAMPLES,
             Command::Key(_) => key::EXAMPLES,
             Command::Load(_) => load::EXAMPLES,
+            Command::Push(_) => push::EXAMPLES,
+            Command::Status(_) => status::EXAMPLES,
             Command::Timeline(_) => timeline::EXAMPLES,
         }
     }
--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -4,11 +4,14 @@
 //! `docs/design/010-packages.md`.
 
 pub mod admin;
+pub mod configuration;
 pub mod context;
 pub mod directory;
 pub mod event_log;
+pub mod fleet;
 pub mod front;
 mod interim;
+pub mod lease;
 pub mod logging;
 pub mod membership;
 pub mod options;
