Measure what a node adds to a stream

Cause: the aim is 1 ms added to the first token at the median, copy at a peer included, and 200,000 tokens a second and core.

--- a/crates/fl-testbed/src/caller.rs
+++ b/crates/fl-testbed/src/caller.rs
@@ -94,6 +94,15 @@
         }
     }
 
+    /// Reads to the end of the connection without looking at the events, for benchmarks.
+    pub async fn count_bytes(mut self) -> usize {
+        let mut size_bytes = self.buffer.len();
+        while let Some(Ok(frame)) = self.body.frame().await {
+            size_bytes += frame.data_ref().map_or(0, Bytes::len);
+        }
+        size_bytes
+    }
+
     fn take_event(&mut self) -> Option<CallerEvent> {
         loop {
             let end = self.buffer.windows(2).position(|window| window == b"\n\n")?;
