Prove membership over processes

Change: tests/membership.rs kills, cuts, terminates and disturbs nodes as processes: a killed node is called dead by all and alive again after its restart; a data centre that is cut is called cut off on both sides, never dead, and heals; a node that stops says so; datagrams without the fleet key are refused and counted, and nobody is blamed.

--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,108 @@
+//! Membership among processes: death, pause, cut, leave and strangers.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic as tests do")]
+
+use fl_platform::{HttpClient, Reuse};
+use fl_protocol::MemberState;
+use fl_protocol::admin::{METRICS_PATH, STATUS_PATH, StatusPage, TIME_LINE_PATH};
+use fl_protocol::event::EventKind;
+use fl_testbed::{Testbed, TestbedOptions, until};
+use fl_timeline::TimeLinePage;
+use std::net::UdpSocket;
+use std::time::Duration;
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+const GOSSIP_PORT: u16 = 7001;
+const DC_B: [usize; 2] = [1, 4];
+
+fn options() -> TestbedOptions {
+    TestbedOptions::new(env!("CARGO_BIN_EXE_filbertlead"))
+}
+
+/// What one node believes of another.
+async fn belief(bed: &Testbed, at: usize, about: usize) -> Option<MemberState> {
+    let uri = format!("http://{}{STATUS_PATH}", bed.nodes[at].admin);
+    let page = HttpClient::new(Reuse::Never).get_json::<StatusPage>(&uri, TIMEOUT).await.ok()?;
+    let vm = &bed.nodes[about].vm;
+    page.members.iter().find(|member| member.vm == *vm).map(|member| member.state)
+}
+
+async fn all_believe(bed: &Testbed, at: &[usize], about: &[usize], state: MemberState) -> bool {
+    for observer in at {
+        for subject in about {
+            if observer != subject && belief(bed, *observer, *subject).await != Some(state) {
+                return false;
+            }
+        }
+    }
+    true
+}
+
+/// Whether a node ever saw a change of some member that ends as said.
+async fn ever_saw(bed: &Testbed, at: usize, ending: &str) -> bool {
+    let uri = format!("http://{}{TIME_LINE_PATH}", bed.nodes[at].admin);
+    let page: TimeLinePage = HttpClient::new(Reuse::Never).get_json(&uri, TIMEOUT).await.unwrap();
+    let changes = page.events.iter().filter(|event| event.kind == EventKind::MemberChanged);
+    changes.into_iter().any(|event| event.detail.ends_with(ending))
+}
+
+#[tokio::test]
+async fn killed_then_back() {
+    let mut bed = Testbed::start(options()).await;
+    bed.nodes[4].kill();
+    let rest = [0, 1, 2, 3, 5];
+    until("dead", async || all_believe(&bed, &rest, &[4], MemberState::Dead).await).await;
+    bed.nodes[4].start();
+    until("back", async || all_believe(&bed, &rest, &[4], MemberState::Alive).await).await;
+}
+
+#[tokio::test]
+async fn cut_is_not_death() {
+    let bed = Testbed::start(options()).await;
+    bed.network.cut("dc-b", "dc-a");
+    bed.network.cut("dc-b", "dc-c");
+    let rest = [0, 2, 3, 5];
+    until("cut off seen outside", async || {
+        all_believe(&bed, &rest, &DC_B, MemberState::CutOff).await
+    })
+    .await;
+    until("cut off seen inside", async || {
+        all_believe(&bed, &DC_B, &rest, MemberState::CutOff).await
+    })
+    .await;
+    assert!(all_believe(&bed, &DC_B, &DC_B, MemberState::Alive).await);
+    bed.network.heal();
+    let all = [0, 1, 2, 3, 4, 5];
+    until("healed", async || all_believe(&bed, &all, &all, MemberState::Alive).await).await;
+    for node in all {
+        assert!(!ever_saw(&bed, node, "to Dead").await, "node {node} called a cut-off node dead");
+    }
+}
+
+#[tokio::test]
+async fn leaving_told() {
+    let mut bed = Testbed::start(options()).await;
+    bed.nodes[2].terminate();
+    until("told", async || ever_saw(&bed, 0, "entry-2: Alive to Leaving").await).await;
+    assert!(bed.nodes[2].wait().await.success());
+}
+
+#[tokio::test]
+async fn strangers_refused() {
+    let bed = Testbed::start(options()).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let node = &bed.nodes[0];
+    for datagram in [vec![0; 3], vec![7; 300], vec![9; 1500]] {
+        socket.send_to(&datagram, (node.peer.ip(), GOSSIP_PORT)).unwrap();
+    }
+    let uri = format!("http://{}{METRICS_PATH}", node.admin);
+    until("counted", async || {
+        let request = fl_platform::http::build(http::Method::GET, &uri, bytes::Bytes::new());
+        let reply = HttpClient::new(Reuse::Never).fetch(request.unwrap(), TIMEOUT).await.unwrap();
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        text.lines().any(|line| line == "membership_datagrams_refused 3")
+    })
+    .await;
+    let all = [0, 1, 2, 3, 4, 5];
+    assert!(all_believe(&bed, &all, &all, MemberState::Alive).await);
+}
