--- a/crates/fl-membership/src/budget.rs
+++ b/crates/fl-membership/src/budget.rs
@@ -41,8 +41,13 @@
     }
 
     /// Takes out what a datagram cost.
+    ///
+    /// The debt is bounded: news of many members at once, as after a mass start, must not keep
+    /// riders back for longer than the burst takes to be earned.
     pub fn spend(&mut self, datagram_bytes: usize) {
-        self.left_bytes -= (datagram_bytes + HEADER_BYTES) as i64;
+        let cost_bytes = (datagram_bytes + HEADER_BYTES) as i64;
+        let most_debt_bytes = -burst_bytes(self.rate_bytes_per_s);
+        self.left_bytes = (self.left_bytes - cost_bytes).max(most_debt_bytes);
     }
 
     /// What may still be sent.
--- /dev/null
+++ b/crates/fl-membership/tests/budget.rs
@@ -0,0 +1,20 @@
+//! The byte budget: bursts and debts are bounded.
+
+use fl_membership::budget::{ByteBudget, HEADER_BYTES};
+use rstest::rstest;
+use std::time::Duration;
+
+#[rstest]
+#[case::full(0, 0, 2000)]
+#[case::one_datagram(1, 0, 2000 - 500)]
+#[case::empty(4, 0, 0)]
+#[case::debt_is_bounded(1000, 2500, 500)]
+#[case::burst_is_bounded(1, 60_000, 2000)]
+fn left_after(#[case] datagrams: usize, #[case] wait_ms: u64, #[case] expected_bytes: usize) {
+    let mut budget = ByteBudget::new(1000, Duration::ZERO);
+    for _ in 0..datagrams {
+        budget.spend(500 - HEADER_BYTES);
+    }
+    budget.refill(Duration::from_millis(wait_ms));
+    assert_eq!(budget.left_bytes(), expected_bytes);
+}
