--- a/crates/fl-testbed/src/bed.rs
+++ b/crates/fl-testbed/src/bed.rs
@@ -173,6 +173,7 @@
                     return;
                 }
             }
+            assert!(!node.has_exited(), "{} ended: {}", node.vm, node.log());
             assert!(begun.elapsed() < READY_TIMEOUT, "{} {page:?}\n{}", node.vm, node.log());
             tokio::time::sleep(POLL).await;
         }
--- a/crates/fl-testbed/src/node.rs
+++ b/crates/fl-testbed/src/node.rs
@@ -94,6 +94,13 @@
         self.signal("-CONT");
     }
 
+    /// Says whether the process ended by itself.
+    pub fn has_exited(&self) -> bool {
+        let status = std::path::Path::new("/proc").join(self.id().to_string()).join("stat");
+        let text = std::fs::read_to_string(status).unwrap_or_default();
+        text.is_empty() || text.contains(") Z ")
+    }
+
     /// Waits for its end.
     pub async fn wait(&mut self) -> ExitStatus {
         let mut child = self.child.take().unwrap();
--- /dev/null
+++ b/tests/shutdown.rs
@@ -0,0 +1,57 @@
+//! A graceful shutdown cuts off no request in flight.
+
+#![allow(clippy::expect_used)]
+
+use fl_testbed::caller::{chat, expected_answer};
+use fl_testbed::{CallerEvent, Testbed, TestbedOptions};
+use rstest::rstest;
+
+const CALLS: usize = 24;
+
+/// SIGTERM under load: streams that can end on their connection do, the others are handed over
+/// with a word to reconnect, and the process ends well.
+#[rstest]
+#[case::all_end(20_000, 60, 0)]
+#[case::all_move(1, 400, CALLS as u32)]
+#[tokio::test]
+async fn sigterm_under_load(#[case] drain_ms: u64, #[case] tokens: u64, #[case] moves: u32) {
+    let options = TestbedOptions::new(env!("CARGO_BIN_EXE_filbertlead"))
+        .setting("limits", &format!("drain_timeout_ms = {drain_ms}"))
+        .setting("log", "level = debug");
+    let mut bed = Testbed::start(options).await;
+    let mut streams = Vec::new();
+    for index in 0..CALLS {
+        let stream = bed.open(0, &chat(&format!("call {index}"), tokens), "plan", None).await;
+        let mut stream = stream.expect("the call was refused");
+        let first = stream.next().await;
+        streams.push((index, first, stream));
+    }
+    bed.nodes[0].terminate();
+    let exit = bed.nodes[0].wait().await;
+    assert_eq!(exit.code(), Some(0));
+    let mut connections = 0;
+    for (index, first, stream) in streams {
+        let CallerEvent::Token { text, .. } = first else { unreachable!("{first:?}") };
+        let outcome = bed.finish(stream, &[1, 2, 3]).await;
+        assert!(outcome.whole, "{outcome:?}");
+        let whole = text + &outcome.text;
+        assert_eq!(whole, expected_answer(&format!("call {index}"), tokens));
+        connections += outcome.connections - 1;
+    }
+    assert_eq!(connections, moves);
+}
+
+#[tokio::test]
+async fn refuses_new() {
+    let bed = Testbed::start(TestbedOptions::new(env!("CARGO_BIN_EXE_filbertlead"))).await;
+    let long = bed.open(0, &chat("a long one", 400), "plan", None).await;
+    let mut long = long.expect("the call was refused");
+    long.next().await;
+    bed.nodes[0].terminate();
+    fl_testbed::until("new calls are refused", async || {
+        bed.open(0, &chat("a new one", 5), "counter", None).await.is_err()
+    })
+    .await;
+    let outcome = bed.finish(long, &[1]).await;
+    assert!(outcome.whole, "{outcome:?}");
+}
