Compare results of load runs, and record times that the histogram cut off

Cause: the load tool reported every percentile as 0.002 ms. The histogram starts with room for 2 and `saturating_record` does not let it grow. It now has bounds of 1 microsecond to an hour. Proof: a node that answers 30 ms late; its median first token was 0.002 ms before and is at least 29.7 ms now.

--- a/crates/fl-ctl/src/commands.rs
+++ b/crates/fl-ctl/src/commands.rs
@@ -4,6 +4,7 @@
 //! `run`.
 
 pub mod check;
+pub mod experiment;
 pub mod key;
 pub mod load;
 pub mod push;
@@ -19,6 +20,9 @@
     /// See [`check`].
     #[options(help = "check settings or configurations without starting anything")]
     Check(check::Arguments),
+    /// See [`experiment`].
+    #[options(help = "put the results of load runs side by side")]
+    Experiment(experiment::Arguments),
     /// See [`key`].
     #[options(help = "make a fleet key or a workspace key with its hash")]
     Key(key::Arguments),
@@ -41,6 +45,7 @@
     pub async fn run(self) -> Result<(), CommandError> {
         match self {
             Command::Check(arguments) => check::run(&arguments),
+            Command::Experiment(arguments) => experiment::run(&arguments).await,
             Command::Key(arguments) => key::run(&arguments),
             Command::Load(arguments) => load::run(&arguments).await,
             Command::Push(arguments) => push::run(&arguments).await,
@@ -53,6 +58,7 @@
     pub fn examples(&self) -> &'static str {
         match self {
             Command::Check(_) => check::EXAMPLES,
+            Command::Experiment(_) => experiment::EXAMPLES,
             Command::Key(_) => key::EXAMPLES,
             Command::Load(_) => load::EXAMPLES,
             Command::Push(_) => push::EXAMPLES,
--- /dev/null
+++ b/crates/fl-load/src/experiment/summary.rs
@@ -0,0 +1,123 @@
+//! Results of several seeds, summed up.
+
+use crate::report::{GroupResult, LoadResult};
+
+/// A figure over several seeds.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Spread {
+    /// The mean.
+    pub mean: f64,
+    /// The least.
+    pub least: f64,
+    /// The greatest.
+    pub greatest: f64,
+}
+
+/// One class over all workspaces.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ClassSummary {
+    /// The class.
+    pub class: String,
+    /// First token, median, in milliseconds.
+    pub first_token_p50_ms: Spread,
+    /// First token, 95 of 100, in milliseconds.
+    pub first_token_p95_ms: Spread,
+    /// First token, 99 of 100, in milliseconds.
+    pub first_token_p99_ms: Spread,
+    /// Between tokens, 95 of 100, in milliseconds.
+    pub between_tokens_p95_ms: Spread,
+    /// Refused calls, in percent of those sent.
+    pub refused_percent: Spread,
+    /// Whole answers on target, in percent of the calls sent.
+    pub on_target_percent: Spread,
+}
+
+/// All seeds of one user, scenario and policy.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Summary {
+    /// The user.
+    pub user: String,
+    /// The scenario.
+    pub scenario: String,
+    /// The policy.
+    pub label: String,
+    /// How many seeds.
+    pub seeds: usize,
+    /// Prompt tokens computed beyond the least.
+    pub recomputed_tokens: Spread,
+    /// Millicents for 1,000 tokens on target.
+    pub cost_millicents_per_1000_tokens: Spread,
+    /// Calls accepted and not answered whole, over all seeds.
+    pub failed: u64,
+    /// Answers with something that was not theirs, over all seeds.
+    pub wrong: u64,
+    /// The classes, sorted by name.
+    pub classes: Vec<ClassSummary>,
+}
+
+/// Sums up results by user, scenario and policy, in the order in which they come first.
+pub fn summarise(results: &[LoadResult]) -> Vec<Summary> {
+    let mut groups: Vec<Vec<&LoadResult>> = Vec::new();
+    for result in results {
+        match groups.iter_mut().find(|group| same_case(group[0], result)) {
+            Some(group) => group.push(result),
+            None => groups.push(vec![result]),
+        }
+    }
+    groups.iter().map(|group| summarise_case(group)).collect()
+}
+
+fn same_case(left: &LoadResult, right: &LoadResult) -> bool {
+    (&left.user, &left.scenario, &left.label) == (&right.user, &right.scenario, &right.label)
+}
+
+fn summarise_case(results: &[&LoadResult]) -> Summary {
+    let first = results[0];
+    let totals = |result: &LoadResult| -> Vec<GroupResult> {
+        result.groups.iter().filter(|group| group.workspace == "*").cloned().collect()
+    };
+    let classes = totals(first);
+    let all: Vec<GroupResult> = results.iter().flat_map(|result| totals(result)).collect();
+    Summary {
+        user: first.user.clone(),
+        scenario: first.scenario.clone(),
+        label: first.label.clone(),
+        seeds: results.len(),
+        recomputed_tokens: spread(results.iter().map(|result| result.recomputed_tokens as f64)),
+        cost_millicents_per_1000_tokens: spread(
+            results.iter().map(|result| result.cost_millicents_per_1000_tokens),
+        ),
+        failed: all.iter().map(|group| group.failed).sum(),
+        wrong: all.iter().map(|group| group.wrong).sum(),
+        classes: classes.iter().map(|group| summarise_class(&group.class, &all)).collect(),
+    }
+}
+
+fn summarise_class(class: &str, all: &[GroupResult]) -> ClassSummary {
+    let of = |figure: &dyn Fn(&GroupResult) -> f64| {
+        spread(all.iter().filter(|group| group.class == class).map(figure))
+    };
+    ClassSummary {
+        class: class.to_string(),
+        first_token_p50_ms: of(&|group| group.first_token.p50_ms),
+        first_token_p95_ms: of(&|group| group.first_token.p95_ms),
+        first_token_p99_ms: of(&|group| group.first_token.p99_ms),
+        between_tokens_p95_ms: of(&|group| group.between_tokens.p95_ms),
+        refused_percent: of(&|group| percent(group.refused, group.sent)),
+        on_target_percent: of(&|group| percent(group.on_target, group.sent)),
+    }
+}
+
+fn percent(part: u64, whole: u64) -> f64 {
+    if whole == 0 { 0.0 } else { part as f64 * 100.0 / whole as f64 }
+}
+
+fn spread(figures: impl Iterator<Item = f64>) -> Spread {
+    let figures: Vec<f64> = figures.collect();
+    let sum: f64 = figures.iter().sum();
+    Spread {
+        mean: if figures.is_empty() { 0.0 } else { sum / figures.len() as f64 },
+        least: figures.iter().copied().reduce(f64::min).unwrap_or_default(),
+        greatest: figures.iter().copied().reduce(f64::max).unwrap_or_default(),
+    }
+}
--- a/crates/fl-load/src/tally.rs
+++ b/crates/fl-load/src/tally.rs
@@ -14,6 +14,8 @@
 /// Two significant digits of a histogram are within 1%.
 const DIGITS: u8 = 2;
 const MICROS_PER_MS: f64 = 1_000.0;
+/// The longest time that is told apart, an hour in microseconds; longer ones count as that.
+const LONGEST_US: u64 = 3_600_000_000;
 
 /// The model calls of one workspace and class.
 struct Group {
@@ -162,8 +164,8 @@
         let (workspace, class) = (workspace.to_string(), class.to_string());
         Some(Group {
             result: GroupResult { workspace, class, ..GroupResult::default() },
-            first_token_us: Histogram::new(DIGITS).ok()?,
-            between_tokens_us: Histogram::new(DIGITS).ok()?,
+            first_token_us: histogram()?,
+            between_tokens_us: histogram()?,
         })
     }
 
@@ -200,6 +202,10 @@
     }
 }
 
+fn histogram() -> Option<Histogram<u64>> {
+    Histogram::new_with_bounds(1, LONGEST_US, DIGITS).ok()
+}
+
 fn percentiles(histogram: &Histogram<u64>) -> Percentiles {
     let at = |quantile| histogram.value_at_quantile(quantile) as f64 / MICROS_PER_MS;
     Percentiles { p50_ms: at(0.50), p95_ms: at(0.95), p99_ms: at(0.99) }
--- a/crates/fl-load/tests/runs.rs
+++ b/crates/fl-load/tests/runs.rs
@@ -61,6 +61,16 @@
     assert_eq!((result.calls.wrong, result.calls.answered), (0, result.calls.sent));
 }
 
+#[tokio::test]
+async fn late_first_token() {
+    let node = fake_node::start(Manner::Late).await;
+    let result = run(plan(vec![node]), &CancellationToken::new()).await.unwrap();
+    let counter = result.class_total("counter").unwrap();
+    // Percentiles are within 1%.
+    assert!(counter.first_token.p50_ms >= fake_node::LATE.as_secs_f64() * 990.0);
+    assert!(counter.first_token.p50_ms <= counter.first_token.p99_ms);
+}
+
 #[tokio::test]
 async fn dead_node_passed_over() {
     let dead = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
--- a/crates/fl-load/tests/support/fake_node.rs
+++ b/crates/fl-load/tests/support/fake_node.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Manner {
     Whole,
+    /// Whole, after [`LATE`].
+    Late,
     /// The first connection ends after some tokens without the end marker.
     Cut,
     /// The first connection asks the caller to come back.
@@ -34,6 +36,9 @@
     Forgotten,
 }
 
+/// How late a late answer begins at least.
+pub const LATE: Duration = Duration::from_millis(30);
+
 struct Node {
     manner: Manner,
     /// Prompts by request id.
@@ -69,6 +74,9 @@
     if request.method() == Method::POST {
         let body = request.into_body().collect().await.unwrap().to_bytes();
         let chat: ChatRequest = serde_json::from_slice(&body).unwrap();
+        if node.manner == Manner::Late {
+            tokio::time::sleep(LATE).await;
+        }
         let mut prompts = node.prompts.lock().unwrap();
         prompts.push((chat.clone(), 0));
         return node.first(&chat, prompts.len() - 1);
@@ -89,7 +97,7 @@
     fn first(&self, chat: &ChatRequest, index: usize) -> Reply {
         let half = tokens(chat, 0, chat.max_tokens / 2);
         let body = match self.manner {
-            Manner::Whole => tokens(chat, 0, chat.max_tokens) + END,
+            Manner::Whole | Manner::Late => tokens(chat, 0, chat.max_tokens) + END,
             Manner::Cut | Manner::Forgotten => half,
             Manner::Moved => format!("{half}event: {MOVED_EVENT}\ndata: x\n\n"),
             Manner::Restart => {
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -162,7 +162,7 @@
         """Puts a configuration in force with `filbertctl push`."""
         path = self.directory / "configuration.ini"
         path.write_text(configuration)
-        command = [self.binaries / "filbertctl", "push", path, "--table", self.table,
+        command = [self.binaries / "filbertctl", "push", path, "--wait", "--table", self.table,
                    "--objects", self.objects]
         for admin in self.admins():
             command += ["--admin", admin]
