--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -150,7 +150,7 @@
 
 
 def print_time_line(fleet, binaries, request_id):
-    command = [str(binaries / "filbertctl"), "timeline", "--request", request_id]
+    command = [str(binaries / "filbertctl"), "timeline", "--only", "--request", request_id]
     for admin in fleet.admins():
         command += ["--admin", admin]
     sys.stdout.flush()
