--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -160,6 +160,8 @@
 
     def push(self, configuration):
         """Puts a configuration in force with `filbertctl push`."""
+        for admin in self.admins():
+            self._wait_for(lambda: self._answers(admin, "/healthz"), f"the node at {admin}")
         path = self.directory / "configuration.ini"
         path.write_text(configuration)
         command = [self.binaries / "filbertctl", "push", path, "--wait", "--table", self.table,
--- a/scripts/measure-routing.py
+++ b/scripts/measure-routing.py
@@ -22,9 +22,12 @@
 RATES_PER_S = {"piton-frost": 100, "zagadka": 60}
 NOTICE_S = 3
 CACHE_BLOCKS = 2048
+# Times the user's own rate; without caches the busy load is above what the engines prefill.
+RATE_FACTORS = {"busy": 2}
 # Engine arguments of each scenario; the reclaims come a third into the run.
 SCENARIOS = {
     "steady": [],
+    "busy": [],
     "lag-1s": ["--load-lag-ms", 1000],
     "lag-5s": ["--load-lag-ms", 5000],
     "events-lost": ["--cache-event-loss-percent", 30],
@@ -44,8 +47,9 @@
 
 
 def load_command(options, fleet, user, scenario, policy, seed, out):
+    rate = (options.rate or RATES_PER_S[user]) * RATE_FACTORS.get(scenario, 1)
     command = [options.binaries / "filbertctl", "load", "--user", user, "--seed", seed,
-               "--rate", options.rate or RATES_PER_S[user], "--seconds", options.seconds,
+               "--rate", rate, "--seconds", options.seconds,
                "--label", policy, "--scenario", scenario, "--out", out]
     for address in fleet.callers():
         command += ["--node", address]
