--- /dev/null
+++ b/crates/fl-load/tests/experiments.rs
@@ -0,0 +1,78 @@
+//! Results of several runs side by side.
+
+#![allow(clippy::unwrap_used, reason = "a step that fails shall fail the test")]
+
+use fl_load::experiment::{Spread, read_results, summarise, write_report};
+use fl_load::{GroupResult, LoadError, LoadResult, Percentiles};
+use std::path::PathBuf;
+
+fn result(label: &str, seed: u64, recomputed_tokens: u64, refused: u64) -> LoadResult {
+    let group = |workspace: &str| GroupResult {
+        workspace: workspace.to_string(),
+        class: "counter".to_string(),
+        sent: 10,
+        refused,
+        first_token: Percentiles { p95_ms: seed as f64, ..Percentiles::default() },
+        ..GroupResult::default()
+    };
+    LoadResult {
+        label: label.to_string(),
+        scenario: "steady".to_string(),
+        user: "zagadka".to_string(),
+        seed,
+        recomputed_tokens,
+        groups: vec![group("*"), group("sofia")],
+        ..LoadResult::default()
+    }
+}
+
+fn fresh_folder() -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("fl-load-{:x}", rand::random::<u64>()));
+    std::fs::create_dir(&folder).unwrap();
+    folder
+}
+
+#[test]
+fn seeds_summed_up() {
+    let results =
+        [result("least-loaded", 1, 100, 0), result("prefix", 1, 10, 1), result("prefix", 3, 30, 2)];
+    let summaries = summarise(&results);
+    let shape: Vec<(&str, usize)> =
+        summaries.iter().map(|summary| (summary.label.as_str(), summary.seeds)).collect();
+    assert_eq!(shape, [("least-loaded", 1), ("prefix", 2)]);
+    let prefix = &summaries[1];
+    assert_eq!(prefix.recomputed_tokens, Spread { mean: 20.0, least: 10.0, greatest: 30.0 });
+    let counter = &prefix.classes[0];
+    assert_eq!(counter.first_token_p95_ms, Spread { mean: 2.0, least: 1.0, greatest: 3.0 });
+    assert_eq!(counter.refused_percent, Spread { mean: 15.0, least: 10.0, greatest: 20.0 });
+}
+
+#[test]
+fn report_written() {
+    let (results, report) = (fresh_folder(), fresh_folder());
+    for (name, result) in
+        [("a", result("least-loaded", 1, 100, 0)), ("b", result("prefix", 1, 25, 0))]
+    {
+        let text = serde_json::to_string(&result).unwrap();
+        std::fs::write(results.join(format!("{name}.json")), text).unwrap();
+    }
+    write_report(&read_results(&results).unwrap(), &report).unwrap();
+    let tables = std::fs::read_to_string(report.join("tables.md")).unwrap();
+    assert!(tables.contains("| steady | prefix | 25 (25 to 25) | 25% |"), "{tables}");
+    for plot in ["recomputed", "counter-p95", "deferrable-p95", "cost"] {
+        let svg = std::fs::read_to_string(report.join(format!("zagadka-{plot}.svg"))).unwrap();
+        assert!(svg.contains("least-loaded"), "{plot}");
+    }
+    std::fs::remove_dir_all(results).unwrap();
+    std::fs::remove_dir_all(report).unwrap();
+}
+
+#[test]
+fn faulty_folders() {
+    let folder = fresh_folder();
+    assert!(matches!(read_results(&folder), Err(LoadError::NoResults(_))));
+    std::fs::write(folder.join("a.json"), "{}x").unwrap();
+    assert!(matches!(read_results(&folder), Err(LoadError::NoResult { .. })));
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert!(matches!(read_results(&folder), Err(LoadError::File { .. })));
+}
