--- a/crates/fl-node/src/event_log.rs
+++ b/crates/fl-node/src/event_log.rs
@@ -54,16 +54,21 @@
 
     /// The events that a filter lets through, with the node's clock.
     pub fn page(&self, filter: &EventFilter) -> TimeLinePage {
-        let state = self.state.lock();
+        let (clock, dropped_events, events) = self.select(filter);
         TimeLinePage {
             vm: self.vm.clone(),
             data_center: self.data_center.clone(),
-            clock: state.clock.last(),
-            dropped_events: state.ring.dropped_events(),
-            events: state.ring.select(filter),
+            clock,
+            dropped_events,
+            events: events.iter().map(|event| event.as_ref().clone()).collect(),
         }
     }
 
+    fn select(&self, filter: &EventFilter) -> (Stamp, u64, Vec<Arc<Event>>) {
+        let state = self.state.lock();
+        (state.clock.last(), state.ring.dropped_events(), state.ring.select(filter))
+    }
+
     fn push(&self, kind: EventKind, request_id: Option<String>, detail: String) {
         let mut state = self.state.lock();
         let stamp = state.clock.tick(unix_ms());
--- a/crates/fl-timeline/src/ring.rs
+++ b/crates/fl-timeline/src/ring.rs
@@ -4,11 +4,12 @@
 use fl_protocol::{DataCenterName, UnixMs, VmName};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 /// Keeps the newest events of one node, oldest first; older ones are dropped and counted.
 #[derive(Debug, Clone)]
 pub struct EventRing {
-    events: VecDeque<Event>,
+    events: VecDeque<Arc<Event>>,
     capacity: usize,
     dropped_events: u64,
 }
@@ -25,11 +26,12 @@
             self.events.pop_front();
             self.dropped_events += 1;
         }
-        self.events.push_back(event);
+        self.events.push_back(Arc::new(event));
     }
 
-    /// The events that a filter lets through, oldest first.
-    pub fn select(&self, filter: &EventFilter) -> Vec<Event> {
+    /// The events that a filter lets through, oldest first; shared, so that a reader of a full ring
+    /// does not hold up those who record.
+    pub fn select(&self, filter: &EventFilter) -> Vec<Arc<Event>> {
         self.events.iter().filter(|event| filter.accepts(event)).cloned().collect()
     }
 
