Keep the events of a node that goes away at a peer

Cause: after a reclaim the time line lacked what the reclaimed nodes had done, since their rings went with them: of a request that was accepted in the lost data centre, only the part after its take-over was seen.

Change: a stopping node records node-stopped and gives its newest 2,048 events to a live peer, in another data centre if there is one, within the time that callers get to read its last words. Peers keep up to 16,384 such events and show them with their own; the merge counts an event once.

--- a/crates/fl-kernel/src/services.rs
+++ b/crates/fl-kernel/src/services.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use fl_protocol::call::{ServiceAnswer, ServiceCall};
 use fl_protocol::engine::LoadReport;
-use fl_protocol::event::{EventKind, Stamp};
+use fl_protocol::event::{Event, EventKind, Stamp};
 use fl_protocol::platform::{Vm, VmKind};
 use fl_protocol::{
     AttemptNumber, BlockHash, CallClass, Configuration, Fingerprint, Member, OwnerEpoch, Problem,
@@ -234,6 +234,8 @@
     async fn tell(&self, to: &Member, news: &[News]) -> Result<(), PeerError>;
     /// Asks for the peer's list of VMs, for a node that starts while the platform is out.
     async fn fetch_vms(&self, from: &Member) -> Result<Vec<Vm>, PeerError>;
+    /// Gives events of the time line to a peer, for a node that goes away.
+    async fn keep_events(&self, to: &Member, events: &[Event]) -> Result<(), PeerError>;
 }
 
 /// Why a peer did not answer.
@@ -341,6 +343,8 @@
     }
     /// See [`EventLog::observe`].
     fn observe(&self, _stamp: Stamp) {}
+    /// See [`Peers::keep_events`].
+    fn keep_events(&self, _events: Vec<Event>) {}
 }
 
 /// Takes events for the time line.
@@ -353,6 +357,8 @@
     }
     /// Takes the stamp of a peer's message, so that later events here are stamped after it.
     fn observe(&self, _stamp: Stamp) {}
+    /// Keeps events of a node that goes away.
+    fn keep(&self, _events: Vec<Event>) {}
 }
 
 /// Names an attempt, for logs and stream ids.
--- a/crates/fl-node/src/event_log.rs
+++ b/crates/fl-node/src/event_log.rs
@@ -4,10 +4,10 @@
 
 use crate::context::{ServiceContext, StartError};
 use fl_kernel::clock::unix_ms;
-use fl_kernel::names;
-use fl_kernel::services::EventLog;
+use fl_kernel::services::{EventLog, Membership, Peers};
+use fl_kernel::{RegistryError, names};
 use fl_protocol::event::{Event, EventKind, Stamp};
-use fl_protocol::{DataCenterName, RequestId, VmName, request_id_text};
+use fl_protocol::{DataCenterName, Member, RequestId, VmName, hash64, request_id_text};
 use fl_timeline::kind::kind_name;
 use fl_timeline::{EventFilter, EventRing, HybridClock, TimeLinePage};
 use parking_lot::Mutex;
@@ -19,6 +19,12 @@
 
 /// Events that one node keeps at most; about 10 MB.
 const RING_EVENTS: usize = 32_768;
+/// Events that a node keeps for others that went away.
+const KEPT_EVENTS: usize = 16_384;
+/// Events that a node gives to a peer when it goes away.
+const LAST_EVENTS: usize = 2_048;
+/// Peers that are tried for that, since little time is left.
+const KEEPERS_TRIED: usize = 3;
 
 /// Keeps the newest events of this node and the clock that stamps them.
 pub struct TimeLineLog {
@@ -30,6 +36,8 @@
 struct State {
     clock: HybridClock,
     ring: EventRing,
+    /// Events of nodes that went away.
+    kept: EventRing,
 }
 
 /// Starts the service and registers it as [`EventLog`] and as [`TIME_LINE`].
@@ -41,10 +49,42 @@
     Ok(log)
 }
 
+/// Gives the newest events to a peer, so that the time line tells what this node did although its
+/// memory is gone.
+pub async fn hand_over(context: &ServiceContext) -> Result<(), RegistryError> {
+    let log = context.registry.find::<TimeLineLog>(TIME_LINE)?;
+    let peers = context.registry.find::<dyn Peers>(names::PEERS)?;
+    let membership = context.registry.find::<dyn Membership>(names::MEMBERSHIP)?;
+    let events = log.newest(LAST_EVENTS);
+    for member in keepers(&membership.self_member(), membership.members()) {
+        if peers.keep_events(&member, &events).await.is_ok() {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+/// Peers that may keep the events of a node, best first: in another data centre, since the node's
+/// own may go as a whole, and spread over them by rendezvous hashing.
+pub fn keepers(own: &Member, members: Vec<Member>) -> Vec<Member> {
+    let mut peers = members;
+    peers.retain(|member| member.vm != own.vm && member.state.takes_new_work());
+    peers.sort_by_key(|member| {
+        let rank = hash64(&[own.vm.as_bytes(), member.vm.as_bytes()]);
+        (member.data_center == own.data_center, rank)
+    });
+    peers.truncate(KEEPERS_TRIED);
+    peers
+}
+
 impl TimeLineLog {
     /// Makes an empty log for a node.
     pub fn new(vm: &str, data_center: &str) -> Self {
-        let state = State { clock: HybridClock::default(), ring: EventRing::new(RING_EVENTS) };
+        let state = State {
+            clock: HybridClock::default(),
+            ring: EventRing::new(RING_EVENTS),
+            kept: EventRing::new(KEPT_EVENTS),
+        };
         TimeLineLog {
             vm: vm.to_string(),
             data_center: data_center.to_string(),
@@ -52,7 +92,8 @@
         }
     }
 
-    /// The events that a filter lets through, with the node's clock.
+    /// The events that a filter lets through, with the node's clock; those kept for nodes that
+    /// went away come first.
     pub fn page(&self, filter: &EventFilter) -> TimeLinePage {
         let (clock, dropped_events, events) = self.select(filter);
         TimeLinePage {
@@ -66,7 +107,13 @@
 
     fn select(&self, filter: &EventFilter) -> (Stamp, u64, Vec<Arc<Event>>) {
         let state = self.state.lock();
-        (state.clock.last(), state.ring.dropped_events(), state.ring.select(filter))
+        let mut events = state.kept.select(filter);
+        events.extend(state.ring.select(filter));
+        (state.clock.last(), state.ring.dropped_events(), events)
+    }
+
+    fn newest(&self, count: usize) -> Vec<Event> {
+        self.state.lock().ring.newest(count)
     }
 
     fn push(&self, kind: EventKind, request_id: Option<String>, detail: String) {
@@ -94,6 +141,13 @@
     fn observe(&self, stamp: Stamp) {
         self.state.lock().clock.observe(stamp, unix_ms());
     }
+
+    fn keep(&self, events: Vec<Event>) {
+        let mut state = self.state.lock();
+        for event in events {
+            state.kept.push(event);
+        }
+    }
 }
 
 fn log_event(level: Level, name: &str, request_id: Option<&str>, detail: &str) {
--- a/crates/fl-node/src/run.rs
+++ b/crates/fl-node/src/run.rs
@@ -133,6 +133,10 @@
         membership.leave();
     }
     streams.leave(departure.deadline).await;
-    tokio::time::sleep(LAST_WORDS).await;
+    if let Ok(events) = context.registry.find::<dyn EventLog>(names::EVENT_LOG) {
+        events.record(EventKind::NodeStopped, None, departure.reason);
+    }
+    let handing_over = tokio::time::timeout(LAST_WORDS, event_log::hand_over(context));
+    let _ = tokio::join!(handing_over, tokio::time::sleep(LAST_WORDS));
     node.finish().await;
 }
--- a/crates/fl-node/src/streams/host.rs
+++ b/crates/fl-node/src/streams/host.rs
@@ -9,7 +9,7 @@
     Peers, Quarantine, TokenBatch, Verdict,
 };
 use fl_peer::PeerOptions;
-use fl_protocol::event::{EventKind, Stamp};
+use fl_protocol::event::{Event, EventKind, Stamp};
 use fl_protocol::platform::{Vm, VmKind};
 use fl_protocol::{Configuration, OwnerEpoch, RequestId, RequestRecord, TokenOffset, VmName};
 use std::net::SocketAddr;
@@ -156,4 +156,10 @@
             events.observe(stamp);
         }
     }
+
+    fn keep_events(&self, events: Vec<Event>) {
+        if let Some(log) = self.find::<dyn EventLog>(names::EVENT_LOG) {
+            log.keep(events);
+        }
+    }
 }
--- a/crates/fl-peer/schema/peer.capnp
+++ b/crates/fl-peer/schema/peer.capnp
@@ -101,4 +101,6 @@
   tell @8 (news :List(News), stamp :Stamp) -> (stamp :Stamp);
   # The list of VMs as the peer knows it, a JSON body as the platform gives it.
   fetchVms @9 () -> (vmsJson :Text);
+  # Keeps events of the time line for a node that goes away; a JSON list.
+  keepEvents @10 (eventsJson :Text) -> ();
 }
--- a/crates/fl-peer/src/client.rs
+++ b/crates/fl-peer/src/client.rs
@@ -7,6 +7,7 @@
 use fl_kernel::services::{
     ClaimStatus, HandedRequest, News, PeerError, PeerHost, Peers, TokenBatch,
 };
+use fl_protocol::event::Event;
 use fl_protocol::platform::Vm;
 use fl_protocol::{
     Configuration, Member, OwnerEpoch, RequestId, RequestRecord, TokenOffset, VmName,
@@ -304,4 +305,15 @@
         };
         self.call(from, CALL_TIMEOUT, call).await
     }
+
+    async fn keep_events(&self, to: &Member, events: &[Event]) -> Result<(), PeerError> {
+        let events_json = serde_json::to_string(events)
+            .map_err(|error| PeerError::Failed(to.vm.clone(), error.to_string()))?;
+        let call = move |client: peer::Client| -> Answer<()> {
+            let mut request = client.keep_events_request();
+            request.get().set_events_json(&events_json);
+            Box::pin(async move { request.send().promise.await.map(|_| ()) })
+        };
+        self.call(to, CALL_TIMEOUT, call).await
+    }
 }
--- a/crates/fl-peer/src/peer_capnp.rs
+++ b/crates/fl-peer/src/peer_capnp.rs
@@ -3077,6 +3077,8 @@
     pub type TellResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::tell_results::Owned>;
     pub type FetchVmsParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::fetch_vms_params::Owned>;
     pub type FetchVmsResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::fetch_vms_results::Owned>;
+    pub type KeepEventsParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::keep_events_params::Owned>;
+    pub type KeepEventsResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::keep_events_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -3156,6 +3158,9 @@
         pub fn fetch_vms_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::fetch_vms_params::Owned,crate::peer_capnp::peer::fetch_vms_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 9, ::core::option::Option::None)
         }
+        pub fn keep_events_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::keep_events_params::Owned,crate::peer_capnp::peer::keep_events_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 10, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn put_record(self: ::capnp::capability::Rc<Self>, _: PutRecordParams<>, _: PutRecordResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::put_record not implemented".to_string()))) }
@@ -3168,6 +3173,7 @@
         fn fetch_configuration(self: ::capnp::capability::Rc<Self>, _: FetchConfigurationParams<>, _: FetchConfigurationResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::fetch_configuration not implemented".to_string()))) }
         fn tell(self: ::capnp::capability::Rc<Self>, _: TellParams<>, _: TellResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::tell not implemented".to_string()))) }
         fn fetch_vms(self: ::capnp::capability::Rc<Self>, _: FetchVmsParams<>, _: FetchVmsResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::fetch_vms not implemented".to_string()))) }
+        fn keep_events(self: ::capnp::capability::Rc<Self>, _: KeepEventsParams<>, _: KeepEventsResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::keep_events not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -3207,6 +3213,7 @@
                 7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::fetch_configuration(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::tell(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 9 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::fetch_vms(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                10 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::keep_events(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -7873,4 +7880,378 @@
             pub(crate) const TYPE_ID: u64 = 0x9a4d_e856_0541_ce98;
         }
     }
+
+    pub mod keep_events_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_events_json(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_events_json(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_events_json(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_events_json(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_events_json(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_events_json(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(139, 66, 156, 46, 249, 70, 18, 206),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(107, 101, 101, 112, 69, 118, 101, 110),
+                ::capnp::word(116, 115, 36, 80, 97, 114, 97, 109),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(101, 118, 101, 110, 116, 115, 74, 115),
+                ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xce12_46f9_2e9c_428b;
+        }
+    }
+
+    pub mod keep_events_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(76, 6, 217, 133, 237, 249, 31, 252),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(107, 101, 101, 112, 69, 118, 101, 110),
+                ::capnp::word(116, 115, 36, 82, 101, 115, 117, 108),
+                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xfc1f_f9ed_85d9_064c;
+        }
+    }
 }
--- a/crates/fl-peer/src/server.rs
+++ b/crates/fl-peer/src/server.rs
@@ -153,4 +153,14 @@
         results.get().set_vms_json(&vms_json);
         Ok(())
     }
+
+    async fn keep_events(
+        self: Rc<Self>,
+        params: peer::KeepEventsParams,
+        _results: peer::KeepEventsResults,
+    ) -> Result<(), Error> {
+        let events_json = params.get()?.get_events_json()?.to_str()?;
+        self.host.keep_events(serde_json::from_str(events_json).map_err(codec::unreadable)?);
+        Ok(())
+    }
 }
--- a/crates/fl-timeline/src/merge.rs
+++ b/crates/fl-timeline/src/merge.rs
@@ -36,8 +36,8 @@
     }
 }
 
-/// Merges pages: an effect never stands before its cause, equal stamps are ordered by VM, and a
-/// node that was asked twice counts once.
+/// Merges pages: an effect never stands before its cause, equal stamps are ordered by VM, a node
+/// that was asked twice counts once, and so does an event that a peer kept as well.
 pub fn merge(pages: Vec<TimeLinePage>) -> TimeLine {
     let mut time_line = TimeLine::default();
     for page in pages {
@@ -50,5 +50,6 @@
         time_line.events.extend(page.events);
     }
     time_line.events.sort_by(|a, b| (a.stamp, &a.vm).cmp(&(b.stamp, &b.vm)));
+    time_line.events.dedup();
     time_line
 }
--- a/crates/fl-timeline/src/ring.rs
+++ b/crates/fl-timeline/src/ring.rs
@@ -35,6 +35,12 @@
         self.events.iter().filter(|event| filter.accepts(event)).cloned().collect()
     }
 
+    /// The newest events, at most `count` of them, oldest first.
+    pub fn newest(&self, count: usize) -> Vec<Event> {
+        let skipped = self.events.len().saturating_sub(count);
+        self.events.iter().skip(skipped).map(|event| event.as_ref().clone()).collect()
+    }
+
     /// How many events were pushed out so far.
     pub fn dropped_events(&self) -> u64 {
         self.dropped_events
--- a/crates/fl-timeline/tests/time_line.rs
+++ b/crates/fl-timeline/tests/time_line.rs
@@ -107,6 +107,14 @@
     assert_eq!((merged.nodes.len(), merged.dropped_events), (2, 2));
 }
 
+/// An event that is on its node's page and on that of a peer which kept it counts once.
+#[test]
+fn kept_events() {
+    let own = event(1000, "a1", EventKind::Accepted, Some("00ab"));
+    let merged = merge(vec![page("a1", vec![own.clone()]), page("b1", vec![own])]);
+    assert_eq!(merged.events.len(), 1);
+}
+
 #[test]
 fn text_lines() {
     let text = render_text(&two_nodes());
--- a/tests/time_line.rs
+++ b/tests/time_line.rs
@@ -1,4 +1,4 @@
-//! The time line follows a request over the nodes that carried it.
+//! The time line follows a request over the nodes that carried it, also those that are gone.
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests may panic as tests do")]
 
@@ -26,12 +26,11 @@
     let mut stream = stream.unwrap_or_else(|refusal| panic!("{refusal:?}"));
     stream.next().await;
 
-    // The ring of the first owner goes with its process, so it is read before.
-    let mut pages = vec![page(bed.nodes[0].admin).await];
     bed.nodes[0].terminate();
     let outcome = bed.finish(stream, &[1, 2, 3, 4, 5]).await;
     assert!(outcome.whole, "{outcome:?}");
     bed.nodes[0].wait().await;
+    let mut pages = Vec::new();
     for node in &bed.nodes[1..] {
         pages.push(page(node.admin).await);
     }
@@ -45,5 +44,6 @@
     let places = steps.map(place);
     assert!(places[0].is_some() && places.is_sorted(), "{text}");
     assert_eq!(kinds.last(), Some(&EventKind::Whole), "{text}");
+    assert_eq!(time_line.events[0].vm, bed.nodes[0].vm, "{text}");
     assert_ne!(time_line.events[0].vm, time_line.events[kinds.len() - 1].vm, "{text}");
 }
