Record when a node became ready

Cause: the kind node-ready was published but never recorded.

Change: once a node has a configuration, it records node-ready with its version.

Proof: tests/time_line.rs counts one node-started and one node-ready a node; the latter count was 0 before.

--- a/crates/fl-node/src/event_log.rs
+++ b/crates/fl-node/src/event_log.rs
@@ -4,7 +4,7 @@
 
 use crate::context::{ServiceContext, StartError};
 use fl_kernel::clock::unix_ms;
-use fl_kernel::services::{EventLog, Membership, Peers};
+use fl_kernel::services::{ConfigurationSource, EventLog, Membership, Peers};
 use fl_kernel::{RegistryError, names};
 use fl_protocol::event::{Event, EventKind, Stamp};
 use fl_protocol::{DataCenterName, Member, RequestId, VmName, hash64, request_id_text};
@@ -49,6 +49,23 @@
     Ok(log)
 }
 
+/// Records that the node is ready, once it has a configuration.
+pub async fn announce_ready(context: ServiceContext) {
+    let Ok(source) = context.registry.find::<dyn ConfigurationSource>(names::CONFIGURATION) else {
+        return;
+    };
+    let mut changes = source.subscribe();
+    while source.current().version == 0 {
+        let change = context.cancel.run_until_cancelled(changes.changed()).await;
+        if !matches!(change, Some(Ok(()))) {
+            return;
+        }
+    }
+    if let Ok(log) = context.registry.find::<dyn EventLog>(names::EVENT_LOG) {
+        log.record(EventKind::NodeReady, None, format!("version {}", source.current().version));
+    }
+}
+
 /// Gives the newest events to a peer, so that the time line tells what this node did although its
 /// memory is gone.
 pub async fn hand_over(context: &ServiceContext) -> Result<(), RegistryError> {
--- a/crates/fl-node/src/run.rs
+++ b/crates/fl-node/src/run.rs
@@ -91,6 +91,7 @@
     streams.watch()?;
     front::start(context, streams.clone(), readiness).await?;
     admin::start(context)?;
+    context.spawn(event_log::announce_ready(context.clone()));
     Ok(streams)
 }
 
--- a/tests/time_line.rs
+++ b/tests/time_line.rs
@@ -36,6 +36,10 @@
     }
 
     let mut time_line = merge(pages);
+    for kind in [EventKind::NodeStarted, EventKind::NodeReady] {
+        let nodes = time_line.events.iter().filter(|event| event.kind == kind).count();
+        assert_eq!(nodes, bed.nodes.len(), "{}", render_text(&time_line));
+    }
     time_line.events.retain(|event| event.request_id.as_ref() == Some(&outcome.request_id));
     let text = render_text(&time_line);
     let kinds: Vec<EventKind> = time_line.events.iter().map(|event| event.kind).collect();
