Add the state machine of non-repeatable calls

Cause: a booking or payment may run at most once, and 'not run' must stay true, also for tries of the key that were received before it was said. Change: Attempt is a machine without I/O that claims by conditional write, reads a lost answer back by its nonce, asks the owner of another claim, and ends as not run only when the released row is in the table; Claim consumes itself.

--- a/crates/fl-ledger/src/lib.rs
+++ b/crates/fl-ledger/src/lib.rs
@@ -1,1 +1,17 @@
 //! The state machine of calls that may not be repeated.
+//!
+//! Everything here is pure: [`Attempt`] says what to do next and is told what came of it, so that
+//! every interleaving of faults can be walked in a test. The service that does the I/O stands in
+//! `fl-node`. See `docs/design/040-non-repeatable-calls.md`.
+
+pub mod attempt;
+pub mod claim;
+pub mod decision;
+pub mod row;
+pub mod settlement;
+
+pub use attempt::{Attempt, Effect, Ending, Input, ReadOutcome, SendOutcome, WriteOutcome};
+pub use claim::{Claim, Claimed, Dispatched, Ended};
+pub use decision::{Decision, OwnerWord, Reason, Try, decide};
+pub use row::{ClaimNonce, ClaimRow, Life, RowError, RowState, Seen};
+pub use settlement::{Settlement, SettlementStep};
--- a/crates/fl-protocol/src/call.rs
+++ b/crates/fl-protocol/src/call.rs
@@ -23,7 +23,7 @@
 }
 
 /// A plain service's answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ServiceAnswer {
     /// The HTTP status.
     pub status: u16,
