--- /dev/null
+++ b/crates/fl-ctl/src/commands.rs
@@ -0,0 +1,63 @@
+//! The commands, one a file.
+//!
+//! Each file has `Arguments` (what follows the command's name), `EXAMPLES` (for its help) and
+//! `run`.
+
+pub mod check;
+pub mod key;
+pub mod load;
+pub mod push;
+pub mod status;
+pub mod timeline;
+
+use crate::error::CommandError;
+use gumdrop::Options;
+
+/// The command that was asked for, with its arguments.
+#[derive(Debug, Options)]
+pub enum Command {
+    /// See [`check`].
+    #[options(help = "check settings or configurations without starting anything")]
+    Check(check::Arguments),
+    /// See [`key`].
+    #[options(help = "make a fleet key or a workspace key with its hash")]
+    Key(key::Arguments),
+    /// See [`load`].
+    #[options(help = "offer a mix of calls and report how they were served")]
+    Load(load::Arguments),
+    /// See [`push`].
+    #[options(help = "submit a configuration and wait until it is in force")]
+    Push(push::Arguments),
+    /// See [`status`].
+    #[options(help = "print the version in force and the nodes of each data centre")]
+    Status(status::Arguments),
+    /// See [`timeline`].
+    #[options(help = "merge the events of all nodes into one time line")]
+    Timeline(timeline::Arguments),
+}
+
+impl Command {
+    /// Runs the command.
+    pub async fn run(self) -> Result<(), CommandError> {
+        match self {
+            Command::Check(arguments) => check::run(&arguments),
+            Command::Key(arguments) => key::run(&arguments),
+            Command::Load(arguments) => load::run(&arguments).await,
+            Command::Push(arguments) => push::run(&arguments).await,
+            Command::Status(arguments) => status::run(&arguments).await,
+            Command::Timeline(arguments) => timeline::run(&arguments).await,
+        }
+    }
+
+    /// The examples in the help of the command.
+    pub fn examples(&self) -> &'static str {
+        match self {
+            Command::Check(_) => check::EXAMPLES,
+            Command::Key(_) => key::EXAMPLES,
+            Command::Load(_) => load::EXAMPLES,
+            Command::Push(_) => push::EXAMPLES,
+            Command::Status(_) => status::EXAMPLES,
+            Command::Timeline(_) => timeline::EXAMPLES,
+        }
+    }
+}
