Run non-repeatable calls at most once, over processes

Cause: plain services had no service behind their path; a booking needs one arbiter that outlives every node. Change: the ledger service drives fl-ledger's machine: one conditional write claims the key before dispatch, a second records the outcome; writes that arrive while a transaction is in flight share the next one; owners are asked by the claim's nonce, so a restarted owner never answers for its earlier life; calls run as tasks that outlive their callers, and a stopping node waits for them. While the table is out nothing can prove that an earlier try did not run, so 'not run' is said only if the caller vouches with x-first-try; otherwise the new kind earlier-try-unknown leaves it open.

--- a/crates/fl-ctl/tests/pages.rs
+++ b/crates/fl-ctl/tests/pages.rs
@@ -132,6 +132,7 @@
         Problem::Overloaded { retry_after },
         Problem::NoBackend { retry_after },
         Problem::PlatformUnavailable { retry_after },
+        Problem::EarlierTryUnknown { retry_after },
         Problem::OutcomeUnknown,
         Problem::StillRunning { retry_after },
         Problem::Quarantined,
--- a/crates/fl-node/src/front/services.rs
+++ b/crates/fl-node/src/front/services.rs
@@ -6,7 +6,7 @@
 use fl_kernel::names;
 use fl_kernel::services::Ledger;
 use fl_protocol::call::ServiceCall;
-use fl_protocol::chat::{IDEMPOTENCY_KEY_HEADER, SERVICES_PATH};
+use fl_protocol::chat::{FIRST_TRY_HEADER, IDEMPOTENCY_KEY_HEADER, SERVICES_PATH};
 use fl_protocol::{Problem, RequestId, request_id_of_key};
 use http::request::Parts;
 use http::{Response, StatusCode, header};
@@ -27,6 +27,7 @@
     let id = call_id(caller, head, name)?;
     let call = ServiceCall {
         id,
+        is_first_try: is_first_try(head)?,
         workspace: caller.workspace.name.clone(),
         service: name.to_string(),
         method: head.method.to_string(),
@@ -41,6 +42,10 @@
     Ok(reply::respond(status, &answer.content_type, Some(id), reply::full(answer.body)))
 }
 
+fn is_first_try(head: &Parts) -> Result<bool, Problem> {
+    Ok(auth::text(&head.headers, FIRST_TRY_HEADER)?.is_some_and(|value| value == "true"))
+}
+
 fn call_id(caller: &Caller, head: &Parts, name: &str) -> Result<RequestId, Problem> {
     let not_allowed =
         || Problem::NotAllowed { kind: "service".to_string(), name: name.to_string() };
--- /dev/null
+++ b/crates/fl-node/src/ledger.rs
@@ -0,0 +1,109 @@
+//! The service that runs calls of plain services; those that may not be repeated at most once.
+//!
+//! The decisions stand in `fl-ledger`; this module does the I/O around them. See
+//! `docs/design/040-non-repeatable-calls.md`.
+
+mod batch;
+mod drive;
+mod owner;
+mod repeatable;
+mod runs;
+mod servers;
+mod settle;
+mod store;
+
+use crate::context::{ServiceContext, StartError};
+use async_trait::async_trait;
+use fl_kernel::names;
+use fl_kernel::services::{ClaimStatus, ConfigurationSource, EventLog, Ledger};
+use fl_ledger::Life;
+use fl_platform::{Reuse, ServiceClient};
+use fl_protocol::call::{ServiceAnswer, ServiceCall};
+use fl_protocol::event::EventKind;
+use fl_protocol::{PlainService, Problem, RequestId};
+use owner::Standings;
+use runs::Runs;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+use store::Store;
+use tokio::time::Instant;
+
+/// The name under which the [`NodeLedger`] itself is registered, for the end of the node.
+const CALLS: &str = "calls";
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// The ledger of one node.
+pub struct NodeLedger {
+    /// Itself, for runs that outlive their callers.
+    this: Weak<NodeLedger>,
+    context: ServiceContext,
+    life: Life,
+    store: Store,
+    /// Never reuses a connection, since a stale one may swallow a call.
+    single_use: ServiceClient,
+    pooled: ServiceClient,
+    standings: Standings,
+    runs: Runs,
+}
+
+/// Starts the service and registers it.
+pub fn start(context: &ServiceContext) -> Result<Arc<NodeLedger>, StartError> {
+    let ledger = Arc::new_cyclic(|this| NodeLedger {
+        this: this.clone(),
+        context: context.clone(),
+        life: rand::random(),
+        store: Store::start(context),
+        single_use: ServiceClient::new(Reuse::Never),
+        pooled: ServiceClient::new(Reuse::Pooled),
+        standings: Standings::default(),
+        runs: Runs::default(),
+    });
+    context.registry.register::<dyn Ledger>(names::LEDGER, ledger.clone())?;
+    context.registry.register(CALLS, ledger.clone())?;
+    Ok(ledger)
+}
+
+/// Lets the calls of the node's ledger end before the node does; see [`NodeLedger::drain`].
+pub async fn drain(context: &ServiceContext, deadline: Instant) {
+    if let Ok(ledger) = context.registry.find::<NodeLedger>(CALLS) {
+        ledger.drain(deadline).await;
+    }
+}
+
+impl NodeLedger {
+    /// Waits until no call runs and no outcome is unsettled, or the deadline has come.
+    pub async fn drain(&self, deadline: Instant) {
+        while Instant::now() < deadline && !(self.runs.is_empty() && self.standings.is_empty()) {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    }
+
+    fn service(&self, name: &str) -> Result<PlainService, Problem> {
+        let not_allowed =
+            || Problem::NotAllowed { kind: "service".to_string(), name: name.to_string() };
+        let source = self.context.registry.find::<dyn ConfigurationSource>(names::CONFIGURATION);
+        let source = source.map_err(|error| Problem::Internal(error.to_string()))?;
+        source.current().service(name).cloned().ok_or_else(not_allowed)
+    }
+
+    fn record(&self, kind: EventKind, id: RequestId, detail: String) {
+        if let Ok(events) = self.context.registry.find::<dyn EventLog>(names::EVENT_LOG) {
+            events.record(kind, Some(id), detail);
+        }
+    }
+}
+
+#[async_trait]
+impl Ledger for NodeLedger {
+    async fn call(&self, call: ServiceCall) -> Result<ServiceAnswer, Problem> {
+        let service = self.service(&call.service)?;
+        if service.repeatable {
+            return self.run_repeatable(&call, &service).await;
+        }
+        self.run_once(call, service).await
+    }
+
+    fn claim_status(&self, id: RequestId) -> Option<ClaimStatus> {
+        self.standings.status(id)
+    }
+}
--- /dev/null
+++ b/crates/fl-node/src/ledger/batch.rs
@@ -0,0 +1,149 @@
+//! Joins the writes that arrive while a transaction is in flight into the next one.
+
+use super::store::{Outage, TABLE, parse};
+use fl_ledger::WriteOutcome;
+use fl_platform::table::is_refusal;
+use fl_platform::{HttpError, TableClient};
+use fl_protocol::platform::{Condition, Put, Row, Transaction, TransactionAnswer};
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot};
+
+/// Rows of one transaction at most.
+const MAX_ROWS: usize = 64;
+
+/// A write that waits for a transaction.
+pub struct PendingRow {
+    /// The row's key.
+    pub key: String,
+    /// The condition; 0 is no row.
+    pub revision: u64,
+    /// The value.
+    pub value: String,
+    /// Takes what came of it.
+    pub reply: oneshot::Sender<WriteOutcome>,
+}
+
+/// Joins writes into transactions, one in flight at a time.
+pub struct Batcher {
+    client: Arc<TableClient>,
+    outage: Arc<Outage>,
+}
+
+impl Batcher {
+    /// Makes one.
+    pub fn new(client: Arc<TableClient>, outage: Arc<Outage>) -> Self {
+        Batcher { client, outage }
+    }
+
+    /// Writes what arrives until all senders are gone.
+    pub async fn run(self, mut arriving: mpsc::Receiver<PendingRow>) {
+        let mut waiting: Vec<PendingRow> = Vec::new();
+        loop {
+            if waiting.is_empty() {
+                match arriving.recv().await {
+                    Some(row) => waiting.push(row),
+                    None => return,
+                }
+            }
+            while waiting.len() < MAX_ROWS
+                && let Ok(row) = arriving.try_recv()
+            {
+                waiting.push(row);
+            }
+            let (batch, next) = split_by_key(waiting);
+            waiting = next;
+            waiting.extend(self.write(batch).await);
+        }
+    }
+
+    /// Sends one transaction; gives back the rows that were held up by the conditions of others.
+    async fn write(&self, batch: Vec<PendingRow>) -> Vec<PendingRow> {
+        metrics::counter!("fl_ledger_transactions_total").increment(1);
+        metrics::counter!("fl_ledger_rows_total").increment(batch.len() as u64);
+        match self.client.transact(&transaction(&batch)).await {
+            Ok(answer) if answer.committed => {
+                committed(batch, &answer);
+                Vec::new()
+            }
+            Ok(answer) => conflicting(batch, &answer),
+            Err(error) => {
+                self.failed(batch, &error);
+                Vec::new()
+            }
+        }
+    }
+
+    fn failed(&self, batch: Vec<PendingRow>, error: &HttpError) {
+        // A broken connection alone may be one lost answer; the read-back tells more.
+        if !matches!(error, HttpError::Broken(..) | HttpError::TimedOut(..)) {
+            self.outage.note(error);
+        }
+        let outcome = if is_refusal(error) { WriteOutcome::Refused } else { WriteOutcome::Lost };
+        for row in batch {
+            let _ = row.reply.send(outcome.clone());
+        }
+    }
+}
+
+/// Takes the first write of each key; later writes of the same key wait for its outcome.
+fn split_by_key(waiting: Vec<PendingRow>) -> (Vec<PendingRow>, Vec<PendingRow>) {
+    let mut keys: Vec<String> = Vec::new();
+    waiting.into_iter().partition(|row| match keys.binary_search(&row.key) {
+        Ok(_) => false,
+        Err(index) => {
+            keys.insert(index, row.key.clone());
+            true
+        }
+    })
+}
+
+fn transaction(batch: &[PendingRow]) -> Transaction {
+    let condition = |row: &PendingRow| Condition {
+        table: TABLE.to_string(),
+        key: row.key.clone(),
+        revision: row.revision,
+    };
+    let put = |row: &PendingRow| Put {
+        table: TABLE.to_string(),
+        key: row.key.clone(),
+        value: row.value.clone(),
+    };
+    Transaction {
+        conditions: batch.iter().map(condition).collect(),
+        puts: batch.iter().map(put).collect(),
+    }
+}
+
+fn committed(batch: Vec<PendingRow>, answer: &TransactionAnswer) {
+    for row in batch {
+        let revision = find(answer, &row.key).map_or(row.revision + 1, |found| found.revision);
+        let _ = row.reply.send(WriteOutcome::Committed(revision));
+    }
+}
+
+/// Tells the rows whose conditions failed; the others are to be sent again.
+fn conflicting(batch: Vec<PendingRow>, answer: &TransactionAnswer) -> Vec<PendingRow> {
+    let held = |row: &PendingRow| find(answer, &row.key).map_or(0, |found| found.revision);
+    let is_conflict = |row: &PendingRow| held(row) != row.revision;
+    let none_failed = !batch.iter().any(is_conflict);
+    let (conflicts, others): (Vec<_>, Vec<_>) = batch.into_iter().partition(is_conflict);
+    for row in conflicts {
+        let outcome = match find(answer, &row.key).map(parse).transpose() {
+            Ok(seen) => WriteOutcome::Conflict(seen),
+            Err(_) => WriteOutcome::Refused,
+        };
+        let _ = row.reply.send(outcome);
+    }
+    if !none_failed {
+        return others;
+    }
+    // The answer contradicts itself; each row is read back.
+    for row in others {
+        let _ = row.reply.send(WriteOutcome::Lost);
+    }
+    Vec::new()
+}
+
+fn find<'a>(answer: &'a TransactionAnswer, key: &str) -> Option<&'a Row> {
+    answer.rows.iter().find(|row| row.key == key)
+}
--- /dev/null
+++ b/crates/fl-node/src/ledger/drive.rs
@@ -0,0 +1,134 @@
+//! Carries one try of a call that may not be repeated from step to step.
+
+use super::NodeLedger;
+use fl_kernel::clock::unix_ms;
+use fl_ledger::{Attempt, Effect, Ending, Input, Reason, Settlement, Try};
+use fl_protocol::call::{ServiceAnswer, ServiceCall};
+use fl_protocol::event::EventKind;
+use fl_protocol::{PlainService, Problem, request_id_text};
+use std::time::Duration;
+
+/// Time between two questions about a run at another node.
+const WAIT: Duration = Duration::from_millis(100);
+/// How much longer than the service's timeout a run at another node is waited for.
+const EXTRA_WAIT_MS: u64 = 1_000;
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longer than tries that were received before a release are held back.
+const RETRY_AFTER_RELEASE: Duration = Duration::from_secs(2);
+
+impl NodeLedger {
+    pub(super) async fn drive(
+        &self,
+        call: &ServiceCall,
+        service: &PlainService,
+    ) -> Result<ServiceAnswer, Problem> {
+        if self.store.is_out() {
+            return Err(not_started(Reason::TableOut, call.is_first_try));
+        }
+        let key = request_id_text(call.id);
+        let the_try = self.new_try(call);
+        let nonce = the_try.nonce;
+        let wait_until_ms = the_try.received_at_ms + service.timeout_ms + EXTRA_WAIT_MS;
+        let (mut attempt, mut effect) = Attempt::start(the_try, wait_until_ms, unix_ms());
+        loop {
+            let input = match effect {
+                Effect::End(ending, unsettled) => {
+                    self.note_end(call, nonce, &ending, unsettled);
+                    return answer(ending, call.is_first_try);
+                }
+                effect => {
+                    // What peers are told must be true before the effect can come about.
+                    self.standings.note(nonce, attempt.standing());
+                    self.perform(call, service, &key, effect).await
+                }
+            };
+            (attempt, effect) = attempt.step(input, unix_ms());
+        }
+    }
+
+    fn new_try(&self, call: &ServiceCall) -> Try {
+        Try {
+            nonce: rand::random(),
+            owner: self.context.settings.node.vm.clone(),
+            life: self.life,
+            service: call.service.clone(),
+            fingerprint: call.fingerprint(),
+            received_at_ms: unix_ms(),
+        }
+    }
+
+    async fn perform(
+        &self,
+        call: &ServiceCall,
+        service: &PlainService,
+        key: &str,
+        effect: Effect,
+    ) -> Input {
+        match effect {
+            Effect::Write { revision, row } => {
+                Input::Written(self.store.write(key, revision, row).await)
+            }
+            Effect::Read => Input::Read(self.store.read(key).await),
+            Effect::AskOwner { owner, nonce } => Input::Owner(self.ask_owner(&owner, nonce).await),
+            Effect::Dispatch => {
+                self.record(EventKind::Claimed, call.id, call.service.clone());
+                Input::Sent(self.dispatch(call, service).await)
+            }
+            Effect::Wait | Effect::End(..) => {
+                tokio::time::sleep(WAIT).await;
+                Input::Waited
+            }
+        }
+    }
+
+    fn note_end(
+        &self,
+        call: &ServiceCall,
+        nonce: u128,
+        ending: &Ending,
+        unsettled: Option<Settlement>,
+    ) {
+        let kind = match ending {
+            Ending::Answered(_) => Some(EventKind::OutcomeRecorded),
+            Ending::OutcomeUnknown => Some(EventKind::OutcomeUnknown),
+            Ending::NotRun(_) => Some(EventKind::ClaimReleased),
+            Ending::KeyReused | Ending::StillRunning | Ending::NotStarted(_) => None,
+        };
+        let settled = if unsettled.is_some() { "not settled yet" } else { "settled" };
+        if let Some(kind) = kind {
+            self.record(kind, call.id, settled.to_string());
+        }
+        self.standings.note(nonce, unsettled.as_ref().map(Settlement::standing));
+        if let Some(settlement) = unsettled {
+            self.settle_in_background(call.id, nonce, settlement);
+        }
+    }
+}
+
+fn answer(ending: Ending, is_first_try: bool) -> Result<ServiceAnswer, Problem> {
+    match ending {
+        Ending::Answered(answer) => Ok(answer),
+        Ending::KeyReused => Err(Problem::KeyReused),
+        Ending::OutcomeUnknown => Err(Problem::OutcomeUnknown),
+        Ending::StillRunning => Err(Problem::StillRunning { retry_after: RETRY_AFTER }),
+        Ending::NotRun(reason) => Err(not_run(reason)),
+        Ending::NotStarted(reason) => Err(not_started(reason, is_first_try)),
+    }
+}
+
+fn not_run(reason: Reason) -> Problem {
+    match reason {
+        Reason::TableOut => Problem::PlatformUnavailable { retry_after: RETRY_AFTER },
+        Reason::NoBackend | Reason::JustReleased => {
+            Problem::NoBackend { retry_after: RETRY_AFTER_RELEASE }
+        }
+    }
+}
+
+/// Says *not run* only if the caller vouches that no other try of the key was ever sent.
+fn not_started(reason: Reason, is_first_try: bool) -> Problem {
+    if is_first_try {
+        return not_run(reason);
+    }
+    Problem::EarlierTryUnknown { retry_after: RETRY_AFTER_RELEASE }
+}
--- /dev/null
+++ b/crates/fl-node/src/ledger/repeatable.rs
@@ -0,0 +1,46 @@
+//! Calls that may be repeated.
+
+use super::NodeLedger;
+use super::servers::SERVERS_PER_CALL;
+use fl_kernel::names;
+use fl_kernel::services::Admission;
+use fl_platform::ServiceError;
+use fl_protocol::call::{ServiceAnswer, ServiceCall};
+use fl_protocol::{PlainService, Problem};
+use std::time::Duration;
+
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+const FIRST_SERVER_ERROR: u16 = 500;
+
+impl NodeLedger {
+    /// Runs a call on one server after the other, within the retry budget of the pool.
+    pub(super) async fn run_repeatable(
+        &self,
+        call: &ServiceCall,
+        service: &PlainService,
+    ) -> Result<ServiceAnswer, Problem> {
+        let admission = self.context.registry.find::<dyn Admission>(names::ADMISSION);
+        let admission = admission.map_err(|error| Problem::Internal(error.to_string()))?;
+        let timeout = Duration::from_millis(service.timeout_ms);
+        let mut last = Err(Problem::NoBackend { retry_after: RETRY_AFTER });
+        admission.count_first_try(&service.pool);
+        for (index, vm) in self.servers(call, service).iter().take(SERVERS_PER_CALL).enumerate() {
+            if index > 0 && !admission.try_retry(&service.pool) {
+                break;
+            }
+            match self.pooled.call(&vm.address, call, timeout).await {
+                Ok(answer) if answer.status < FIRST_SERVER_ERROR => {
+                    self.mark_contact(&vm.name, true);
+                    return Ok(answer);
+                }
+                Ok(answer) => last = Ok(answer),
+                Err(ServiceError::NotSent(_)) => self.mark_contact(&vm.name, false),
+                Err(ServiceError::Unknown(_)) => {
+                    self.mark_contact(&vm.name, false);
+                    last = Err(Problem::GivenUp { retry_after: RETRY_AFTER });
+                }
+            }
+        }
+        last
+    }
+}
--- /dev/null
+++ b/crates/fl-node/src/ledger/settle.rs
@@ -0,0 +1,48 @@
+//! Writes the ends of claims that are not known to be in the table, until they are.
+
+use super::NodeLedger;
+use fl_ledger::{ClaimNonce, ReadOutcome, Settlement, SettlementStep, WriteOutcome};
+use fl_protocol::{RequestId, request_id_text};
+use std::time::Duration;
+
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+impl NodeLedger {
+    pub(super) fn settle_in_background(
+        &self,
+        id: RequestId,
+        nonce: ClaimNonce,
+        settlement: Settlement,
+    ) {
+        let Some(this) = self.this.upgrade() else {
+            return;
+        };
+        let cancel = self.context.cancel.clone();
+        self.context.spawn(async move {
+            let key = request_id_text(id);
+            let settled = cancel.run_until_cancelled(this.settle(&key, &settlement)).await;
+            if settled.is_some() {
+                this.standings.note(nonce, None);
+            }
+        });
+    }
+
+    async fn settle(&self, key: &str, settlement: &Settlement) {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+            let ReadOutcome::Row(seen) = self.store.read(key).await else {
+                continue;
+            };
+            let written = match settlement.step(seen.as_ref()) {
+                SettlementStep::Settled => return,
+                SettlementStep::Write(revision, row) => self.store.write(key, revision, row).await,
+            };
+            if matches!(written, WriteOutcome::Committed(_)) {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fl-node/src/ledger/store.rs
@@ -0,0 +1,124 @@
+//! The ledger's rows in the table service, and whether the service can be reached.
+
+use super::batch::{Batcher, PendingRow};
+use crate::context::ServiceContext;
+use fl_kernel::names;
+use fl_kernel::services::EventLog;
+use fl_ledger::{ClaimRow, ReadOutcome, Seen, WriteOutcome};
+use fl_platform::{HttpError, TableClient};
+use fl_protocol::event::EventKind;
+use fl_protocol::platform::Row;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// The ledger's table.
+pub const TABLE: &str = "calls";
+/// A key that is read to learn whether the table service works again.
+const PROBE_KEY: &str = "probe";
+const PROBE_PAUSE: Duration = Duration::from_millis(250);
+/// Rows that wait for a transaction at most; beyond this callers wait.
+const WAITING_ROWS: usize = 1_024;
+
+/// Reads and writes rows, and refuses at once while the table service is out.
+pub struct Store {
+    client: Arc<TableClient>,
+    rows: mpsc::Sender<PendingRow>,
+    outage: Arc<Outage>,
+}
+
+/// Whether the table service is out, so that calls are refused without waiting for a timeout.
+pub struct Outage {
+    is_out: AtomicBool,
+    client: Arc<TableClient>,
+    context: ServiceContext,
+}
+
+impl Store {
+    /// Starts the task that joins writes.
+    pub fn start(context: &ServiceContext) -> Self {
+        let platform = &context.settings.platform;
+        let client = Arc::new(TableClient::new(platform.table, platform.request_timeout));
+        let (sender, receiver) = mpsc::channel(WAITING_ROWS);
+        let outage = Arc::new(Outage {
+            is_out: AtomicBool::new(false),
+            client: client.clone(),
+            context: context.clone(),
+        });
+        let batcher = Batcher::new(client.clone(), outage.clone());
+        let cancel = context.cancel.clone();
+        context.spawn(async move {
+            let _ = cancel.run_until_cancelled(batcher.run(receiver)).await;
+        });
+        Store { client, rows: sender, outage }
+    }
+
+    /// Says whether the table service is out.
+    pub fn is_out(&self) -> bool {
+        self.outage.is_out.load(Ordering::Relaxed)
+    }
+
+    /// Writes a row on the condition of a revision.
+    pub async fn write(&self, key: &str, revision: u64, row: ClaimRow) -> WriteOutcome {
+        let Ok(value) = row.to_text() else {
+            return WriteOutcome::Refused;
+        };
+        let (reply, outcome) = oneshot::channel();
+        let pending = PendingRow { key: key.to_string(), revision, value, reply };
+        if self.rows.send(pending).await.is_err() {
+            return WriteOutcome::Refused;
+        }
+        outcome.await.unwrap_or(WriteOutcome::Lost)
+    }
+
+    /// Reads a row.
+    pub async fn read(&self, key: &str) -> ReadOutcome {
+        metrics::counter!("fl_ledger_reads_total").increment(1);
+        match self.client.read(TABLE, key).await {
+            Ok(row) => match row.as_ref().map(parse).transpose() {
+                Ok(seen) => ReadOutcome::Row(seen),
+                Err(_) => ReadOutcome::Failed,
+            },
+            Err(error) => {
+                self.outage.note(&error);
+                ReadOutcome::Failed
+            }
+        }
+    }
+}
+
+impl Outage {
+    /// Takes a failure; one that says that the service is out starts the probe.
+    pub fn note(self: &Arc<Self>, error: &HttpError) {
+        let is_answer = matches!(error, HttpError::Status(_, status, _) if *status != 503);
+        if is_answer || self.is_out.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        self.record("the table service is out");
+        let outage = self.clone();
+        let cancel = self.context.cancel.clone();
+        self.context.spawn(async move {
+            let _ = cancel.run_until_cancelled(outage.probe()).await;
+        });
+    }
+
+    async fn probe(&self) {
+        while self.client.read(TABLE, PROBE_KEY).await.is_err() {
+            tokio::time::sleep(PROBE_PAUSE).await;
+        }
+        self.is_out.store(false, Ordering::Relaxed);
+        self.record("the table service answers again");
+    }
+
+    fn record(&self, what: &str) {
+        if let Ok(events) = self.context.registry.find::<dyn EventLog>(names::EVENT_LOG) {
+            events.record(EventKind::PlatformChanged, None, what.to_string());
+        }
+    }
+}
+
+/// Reads a row of the ledger's table.
+pub fn parse(row: &Row) -> Result<Seen, fl_ledger::RowError> {
+    Ok(Seen { revision: row.revision, row: ClaimRow::from_text(&row.value)? })
+}
--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod front;
 mod interim;
 pub mod lease;
+pub mod ledger;
 pub mod logging;
 pub mod membership;
 pub mod options;
--- a/crates/fl-node/src/run.rs
+++ b/crates/fl-node/src/run.rs
@@ -6,7 +6,8 @@
 use crate::readiness::{READINESS, Readiness};
 use crate::streams::{self, Streams};
 use crate::{
-    admin, configuration, directory, event_log, fleet, interim, lease, logging, membership, routing,
+    admin, configuration, directory, event_log, fleet, interim, lease, ledger, logging, membership,
+    routing,
 };
 use fl_config::Settings;
 use fl_kernel::clock::unix_ms;
@@ -86,6 +87,7 @@
     lease::start(context)?;
     fleet::start(context)?;
     routing::start(context)?;
+    ledger::start(context)?;
     let streams = streams::start(context)?;
     streams::start_peers(context, streams.clone())?;
     streams.watch()?;
@@ -133,6 +135,7 @@
         membership.leave();
     }
     streams.leave(departure.deadline).await;
+    ledger::drain(context, departure.deadline).await;
     tokio::time::sleep(LAST_WORDS).await;
     node.finish().await;
 }
--- a/crates/fl-platform/src/lib.rs
+++ b/crates/fl-platform/src/lib.rs
@@ -11,9 +11,13 @@
 pub mod lease_store;
 pub mod objects;
 mod rows;
+pub mod service;
+pub mod table;
 pub mod vm_list;
 
 pub use configuration_store::{ConfigurationStore, Head, PushError};
 pub use engine_reports::EngineReports;
 pub use http::{HttpClient, HttpError, Reuse};
+pub use service::{ServiceClient, ServiceError};
+pub use table::TableClient;
 pub use vm_list::VmListClient;
--- /dev/null
+++ b/crates/fl-platform/src/table.rs
@@ -0,0 +1,53 @@
+//! The client of the table service for conditional writes of several rows.
+
+use crate::http::{HttpClient, HttpError, Reuse};
+use crate::rows::{read_row, transact};
+use fl_protocol::platform::{Row, Transaction, TransactionAnswer};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Reads and writes rows; each call is one try.
+#[derive(Debug, Clone)]
+pub struct TableClient {
+    http: HttpClient,
+    table_service: SocketAddr,
+    timeout: Duration,
+}
+
+impl TableClient {
+    /// Makes a client; `timeout` bounds each call.
+    pub fn new(table_service: SocketAddr, timeout: Duration) -> Self {
+        TableClient { http: HttpClient::new(Reuse::Pooled), table_service, timeout }
+    }
+
+    /// Sends a transaction; an error other than those of [`is_refusal`] leaves its effect open.
+    pub async fn transact(
+        &self,
+        transaction: &Transaction,
+    ) -> Result<TransactionAnswer, HttpError> {
+        transact(&self.http, self.table_service, transaction, self.timeout).await
+    }
+
+    /// Reads a row; `None` when there is no such row.
+    pub async fn read(&self, table: &str, key: &str) -> Result<Option<Row>, HttpError> {
+        read_row(&self.http, self.table_service, table, key, self.timeout).await
+    }
+
+    /// Lists the rows of a table whose keys begin with a prefix.
+    pub async fn scan(&self, table: &str, prefix: &str) -> Result<Vec<Row>, HttpError> {
+        let uri = format!("http://{}/v1/rows/{table}?prefix={prefix}", self.table_service);
+        self.http.get_json(&uri, self.timeout).await
+    }
+}
+
+/// Says whether a failed transaction is certain never to take effect.
+///
+/// A 503 is no such certainty, since something between the two ends may have made it up.
+pub fn is_refusal(error: &HttpError) -> bool {
+    const TOO_MANY_REQUESTS: u16 = 429;
+    match error {
+        HttpError::NotConnected(_) => true,
+        HttpError::Status(_, status, _) => *status == TOO_MANY_REQUESTS,
+        _ => false,
+    }
+}
--- a/crates/fl-protocol/src/call.rs
+++ b/crates/fl-protocol/src/call.rs
@@ -20,6 +20,10 @@
     pub body: Vec<u8>,
     /// The body's content type.
     pub content_type: String,
+    /// Whether the caller vouches that it sent the key never before.
+    ///
+    /// While the ledger cannot be read, *not run* is said only of such calls.
+    pub is_first_try: bool,
 }
 
 /// A plain service's answer.
--- a/crates/fl-protocol/src/chat.rs
+++ b/crates/fl-protocol/src/chat.rs
@@ -18,6 +18,9 @@
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Names a call, so that sending it again is recognised.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+/// Says `true` when the caller sends an idempotency key for the first time, and not by a client
+/// that repeats requests on its own.
+pub const FIRST_TRY_HEADER: &str = "x-first-try";
 /// Carries the id of the last event the caller has seen.
 pub const LAST_EVENT_ID_HEADER: &str = "last-event-id";
 /// The data of the event that ends a whole answer.
--- a/crates/fl-protocol/src/problem.rs
+++ b/crates/fl-protocol/src/problem.rs
@@ -70,6 +70,11 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// this try was not started and earlier ones cannot be looked up; send the same key again later
+    EarlierTryUnknown {
+        /// When to come back.
+        retry_after: Duration,
+    },
     /// the call was started and its outcome is unknown; ask the service's owner before trying anew
     OutcomeUnknown,
     /// the same call is running now; ask again with the same key for its answer
@@ -131,6 +136,7 @@
             Problem::Overloaded { .. } => "overloaded",
             Problem::NoBackend { .. } => "no-backend",
             Problem::PlatformUnavailable { .. } => "platform-unavailable",
+            Problem::EarlierTryUnknown { .. } => "earlier-try-unknown",
             Problem::OutcomeUnknown => "outcome-unknown",
             Problem::StillRunning { .. } => "still-running",
             Problem::Quarantined => "quarantined",
@@ -157,6 +163,7 @@
             Problem::Overloaded { .. }
             | Problem::NoBackend { .. }
             | Problem::PlatformUnavailable { .. }
+            | Problem::EarlierTryUnknown { .. }
             | Problem::NotReady { .. } => 503,
             Problem::GivenUp { .. } => 504,
         }
@@ -169,6 +176,7 @@
             | Problem::Overloaded { retry_after }
             | Problem::NoBackend { retry_after }
             | Problem::PlatformUnavailable { retry_after }
+            | Problem::EarlierTryUnknown { retry_after }
             | Problem::StillRunning { retry_after }
             | Problem::GivenUp { retry_after }
             | Problem::NotReady { retry_after, .. } => Some(*retry_after),
@@ -179,9 +187,10 @@
     /// Whether the call took effect.
     pub fn what_was_done(&self) -> WhatWasDone {
         match self {
-            Problem::OutcomeUnknown | Problem::StillRunning { .. } | Problem::Internal(_) => {
-                WhatWasDone::Unknown
-            }
+            Problem::OutcomeUnknown
+            | Problem::EarlierTryUnknown { .. }
+            | Problem::StillRunning { .. }
+            | Problem::Internal(_) => WhatWasDone::Unknown,
             Problem::GivenUp { .. } | Problem::Cancelled => WhatWasDone::Partial,
             _ => WhatWasDone::NotRun,
         }
