Compare the routing policies in virtual time and keep what pays

Cause: the ideas of the prefix policy were not measured.

Change: an example compares round-robin, least-loaded, prefix and each idea on and off, in virtual time with several seeds. The home of a prompt is picked by its first block that less than one runner's share of the calls have in common, since a shared system prompt cannot have one home. Runners that hold the unshared part are considered wherever they rank; in a fleet of more than 128 runners those of the own data centre only.

--- /dev/null
+++ b/crates/fl-routing/benches/decision.rs
@@ -0,0 +1,72 @@
+//! Cost of one routing decision at the sizes of today, of a data centre and of the whole fleet.
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use fl_protocol::engine::LoadReport;
+use fl_protocol::{BlockHash, Priority};
+use fl_routing::belief::Beliefs;
+use fl_routing::estimate::Load;
+use fl_routing::policy::{Call, Candidate, policy_of};
+use fl_routing::rendezvous::{name_hash, rank};
+use fl_routing::sent::Correction;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::hint::black_box;
+
+/// Blocks of a long briefing.
+const PROMPT_BLOCKS: u64 = 160;
+/// Blocks each runner is believed to hold.
+const HELD_BLOCKS: u64 = 4_096;
+
+fn prompt(history: u64) -> Vec<BlockHash> {
+    (0..PROMPT_BLOCKS).map(|number| rank(history, number)).collect()
+}
+
+fn candidate(index: usize) -> Candidate {
+    let name = format!("r{index:04}");
+    let report = LoadReport {
+        slots: 32,
+        running: (index % 20) as u32,
+        prefill_tokens_per_s: 12_000,
+        ..LoadReport::default()
+    };
+    let load = Load::corrected(Some(&report), Correction::default(), 2_000.0);
+    let name_hash = name_hash(&name);
+    Candidate { name, name_hash, load, near: index.is_multiple_of(8), price_millicents_per_h: 0 }
+}
+
+fn beliefs(candidates: &[Candidate]) -> Beliefs {
+    let mut beliefs = Beliefs::default();
+    for (index, candidate) in candidates.iter().enumerate() {
+        let held: Vec<BlockHash> =
+            (0..HELD_BLOCKS).map(|block| rank(index as u64 + 1_000, block)).collect();
+        beliefs.of_mut(&candidate.name).expect(&held);
+    }
+    beliefs.of_mut("r0003").expect(&prompt(1));
+    beliefs
+}
+
+fn decision(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("decision");
+    for policy_name in ["round-robin", "least-loaded", "prefix"] {
+        for size in [12, 95, 760] {
+            let candidates: Vec<Candidate> = (0..size).map(candidate).collect();
+            let beliefs = beliefs(&candidates);
+            let mut policy = policy_of(policy_name);
+            let mut random = ChaCha8Rng::seed_from_u64(1);
+            let call = Call {
+                blocks: prompt(1),
+                prompt_tokens: PROMPT_BLOCKS * 16 + 40,
+                priority: Priority::Deferrable,
+                target_ms: 5_000,
+                deadline_ms: 10_000,
+            };
+            group.bench_function(BenchmarkId::new(policy_name, size), |bencher| {
+                bencher.iter(|| policy.choose(black_box(&call), &candidates, &beliefs, &mut random))
+            });
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decision);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/fl-routing/examples/compare_policies/main.rs
@@ -0,0 +1,121 @@
+//! Compares the routing policies and each of their ideas in virtual time, and prints a table.
+//!
+//! `cargo run --release -p fl-routing --example compare_policies -- [seeds] [seconds] [load]`
+
+mod engine;
+mod run;
+mod workload;
+
+use fl_routing::policy::{HomeRule, LeastLoaded, Policy, Prefix, RoundRobin, Switches};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use run::{Conditions, Outcome, Run};
+use workload::{Mix, PITON_FROST, ZAGADKA, arrivals};
+
+const USUAL: Conditions = Conditions {
+    lag_us: 1_000_000,
+    lost_share: 0.0,
+    correct_lag: true,
+    expect_own: true,
+    events: true,
+    seed: 0,
+};
+
+type MakePolicy = fn() -> Box<dyn Policy>;
+
+struct Case {
+    name: &'static str,
+    conditions: Conditions,
+    policy: MakePolicy,
+}
+
+fn prefix(change: fn(&mut Switches)) -> Box<dyn Policy> {
+    let mut switches = Switches::default();
+    change(&mut switches);
+    Box::new(Prefix::new(switches))
+}
+
+fn cases() -> Vec<Case> {
+    let round_robin: MakePolicy = || Box::new(RoundRobin::default());
+    let least_loaded: MakePolicy = || Box::new(LeastLoaded);
+    let usual: MakePolicy = || prefix(|_| {});
+    let case = |name, conditions, policy| Case { name, conditions, policy };
+    let lag = |lag_us| Conditions { lag_us, ..USUAL };
+    let lost = Conditions { lost_share: 0.3, ..USUAL };
+    vec![
+        case("round-robin", USUAL, round_robin),
+        case("least-loaded", USUAL, least_loaded),
+        case("prefix", USUAL, usual),
+        case("home by block 1", USUAL, || prefix(|s| s.home = HomeRule::Block(1))),
+        case("home by block 8", USUAL, || prefix(|s| s.home = HomeRule::Block(8))),
+        case("home by block 16", USUAL, || prefix(|s| s.home = HomeRule::Block(16))),
+        case("home by block 64", USUAL, || prefix(|s| s.home = HomeRule::Block(64))),
+        case("no bounded load", USUAL, || prefix(|s| s.bounded_load = false)),
+        case("with random picks", USUAL, || prefix(|s| s.random_picks = true)),
+        case("no holders", USUAL, || prefix(|s| s.holders = false)),
+        case("no wait for home", USUAL, || prefix(|s| s.wait_for_home = false)),
+        case("with price", USUAL, || prefix(|s| s.price = true)),
+        case("no nearness", USUAL, || prefix(|s| s.near = false)),
+        case("no lag correction", Conditions { correct_lag: false, ..USUAL }, usual),
+        case("no own blocks", Conditions { expect_own: false, ..USUAL }, usual),
+        case("no cache events", Conditions { events: false, ..USUAL }, usual),
+        case("least-loaded, lag 0.1 s", lag(100_000), least_loaded),
+        case("prefix, lag 0.1 s", lag(100_000), usual),
+        case("least-loaded, lag 5 s", lag(5_000_000), least_loaded),
+        case("prefix, lag 5 s", lag(5_000_000), usual),
+        case("prefix, 30% of events lost", lost, usual),
+    ]
+}
+
+fn main() {
+    let argument = |number: usize, default: f64| {
+        std::env::args().nth(number).and_then(|text| text.parse().ok()).unwrap_or(default)
+    };
+    let (seeds, seconds, load) = (argument(1, 3.0), argument(2, 120.0), argument(3, 1.0));
+    for mix in [ZAGADKA, PITON_FROST] {
+        println!("\n### {}, {seeds} seeds, {seconds} s, {load} of the usual rate\n", mix.name);
+        println!(
+            "| policy | recomputed, % of prompt tokens | counter p50, ms | counter p95, ms \
+             | counter p99, ms | deferrable p95, ms | cost of prefill |"
+        );
+        println!("|---|---|---|---|---|---|---|");
+        for case in cases() {
+            print_row(&case, mix, seeds as u64, seconds as u64, load);
+        }
+    }
+}
+
+fn print_row(case: &Case, mix: Mix, seeds: u64, seconds: u64, load: f64) {
+    let run = |seed: u64| {
+        let calls = arrivals(mix, seconds, load, &mut ChaCha8Rng::seed_from_u64(seed));
+        Run::new(Conditions { seed, ..case.conditions }, &calls, case.policy).finish()
+    };
+    let outcomes: Vec<Outcome> = std::thread::scope(|scope| {
+        let threads: Vec<_> = (1..=seeds).map(|seed| scope.spawn(move || run(seed))).collect();
+        threads.into_iter().filter_map(|thread| thread.join().ok()).collect()
+    });
+    let mean = |value: fn(&Outcome) -> f64| {
+        let values: Vec<f64> = outcomes.iter().map(value).collect();
+        let sum: f64 = values.iter().sum();
+        let least = values.iter().copied().fold(f64::INFINITY, f64::min);
+        let most = values.iter().copied().fold(0.0, f64::max);
+        format!("{:.1} ({least:.1} to {most:.1})", sum / values.len() as f64)
+    };
+    println!(
+        "| {} | {} | {} | {} | {} | {} | {} |",
+        case.name,
+        mean(|o| 100.0 * o.recomputed_tokens as f64 / o.prompt_tokens as f64),
+        mean(|o| percentile(&o.counter_ms, 0.50)),
+        mean(|o| percentile(&o.counter_ms, 0.95)),
+        mean(|o| percentile(&o.counter_ms, 0.99)),
+        mean(|o| percentile(&o.deferrable_ms, 0.95)),
+        mean(|o| o.cost / o.generated_tokens as f64 / 1_000.0),
+    );
+}
+
+fn percentile(values: &[f64], share: f64) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let index = (sorted.len() as f64 * share) as usize;
+    sorted.get(index.min(sorted.len().saturating_sub(1))).copied().unwrap_or(0.0)
+}
--- /dev/null
+++ b/crates/fl-routing/examples/compare_policies/run.rs
@@ -0,0 +1,267 @@
+//! One run: nodes with their own beliefs route calls to runners in virtual time.
+
+use crate::engine::Engine;
+use crate::workload::Arrival;
+use fl_protocol::{BlockHash, Priority};
+use fl_routing::belief::Beliefs;
+use fl_routing::estimate::Load;
+use fl_routing::policy::{Call, Candidate, Policy};
+use fl_routing::rendezvous::name_hash;
+use fl_routing::sent::{Correction, SentWork};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap};
+
+/// Entry VMs.
+const NODES: usize = 6;
+/// Runners.
+const RUNNERS: usize = 12;
+/// Data centres.
+const DATA_CENTERS: usize = 3;
+/// Time between two snapshots of load and two readings of cache events, in microseconds.
+const READING_US: u64 = 100_000;
+/// Time a cache event takes to be seen, in microseconds.
+const EVENT_DELAY_US: u64 = 500_000;
+/// Targets for the first token of counter and deferrable calls, in milliseconds.
+const TARGETS_MS: (u64, u64) = (470, 5_000);
+/// Calls before this share of the run only warm the caches.
+const WARM_UP_SHARE: f64 = 0.3;
+
+/// The conditions of a run.
+#[derive(Debug, Clone, Copy)]
+pub struct Conditions {
+    pub lag_us: u64,
+    pub lost_share: f64,
+    /// Whether nodes add their own sent work to lagged reports.
+    pub correct_lag: bool,
+    /// Whether nodes expect blocks in the cache that they sent there themselves.
+    pub expect_own: bool,
+    /// Whether nodes read cache events.
+    pub events: bool,
+    pub seed: u64,
+}
+
+/// What a run gave, after the warm-up.
+#[derive(Debug, Clone, Default)]
+pub struct Outcome {
+    pub prompt_tokens: u64,
+    pub recomputed_tokens: u64,
+    pub counter_ms: Vec<f64>,
+    pub deferrable_ms: Vec<f64>,
+    /// Prefill and decode time at the price of each runner, in price units.
+    pub cost: f64,
+    pub generated_tokens: u64,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Read,
+    Prefilled(usize),
+    Ended(usize, usize),
+    Arrived(usize),
+}
+
+struct Node {
+    policy: Box<dyn Policy>,
+    beliefs: Beliefs,
+    sent: SentWork,
+    random: ChaCha8Rng,
+}
+
+pub struct Run<'a> {
+    conditions: Conditions,
+    arrivals: &'a [Arrival],
+    nodes: Vec<Node>,
+    engines: Vec<Engine>,
+    names: Vec<(String, u64)>,
+    events: BinaryHeap<Reverse<(u64, Event)>>,
+    seen: BTreeSet<BlockHash>,
+    loss: ChaCha8Rng,
+    outcome: Outcome,
+}
+
+/// Price of a runner, relative to the dearest; every second one is reclaimable and cheap.
+pub fn price(runner: usize) -> u64 {
+    if runner.is_multiple_of(2) { 1_000 } else { 600 }
+}
+
+impl<'a> Run<'a> {
+    pub fn new(
+        conditions: Conditions,
+        arrivals: &'a [Arrival],
+        policy: impl Fn() -> Box<dyn Policy>,
+    ) -> Self {
+        let node = |number: usize| Node {
+            policy: policy(),
+            beliefs: Beliefs::default(),
+            sent: SentWork::default(),
+            random: ChaCha8Rng::seed_from_u64(conditions.seed * 100 + number as u64),
+        };
+        let name = |number: usize| {
+            let name = format!("r{number:02}");
+            let hash = name_hash(&name);
+            (name, hash)
+        };
+        Run {
+            conditions,
+            arrivals,
+            nodes: (0..NODES).map(node).collect(),
+            engines: (0..RUNNERS).map(|_| Engine::default()).collect(),
+            names: (0..RUNNERS).map(name).collect(),
+            events: BinaryHeap::new(),
+            seen: BTreeSet::new(),
+            loss: ChaCha8Rng::seed_from_u64(conditions.seed + 77),
+            outcome: Outcome::default(),
+        }
+    }
+
+    pub fn finish(mut self) -> Outcome {
+        self.push(0, Event::Read);
+        for (index, arrival) in self.arrivals.iter().enumerate() {
+            self.push(arrival.at_us, Event::Arrived(index));
+        }
+        let end_us = self.arrivals.last().map_or(0, |last| last.at_us);
+        while let Some(Reverse((now_us, event))) = self.events.pop() {
+            match event {
+                Event::Read if now_us < end_us => self.read(now_us),
+                Event::Read => {}
+                Event::Arrived(call) => self.arrived(call, now_us),
+                Event::Prefilled(runner) => self.prefilled(runner, now_us),
+                Event::Ended(runner, call) => self.ended(runner, call, now_us),
+            }
+        }
+        self.outcome
+    }
+
+    fn push(&mut self, at_us: u64, event: Event) {
+        self.events.push(Reverse((at_us, event)));
+    }
+
+    fn node_of(&self, call: usize) -> usize {
+        call % NODES
+    }
+
+    fn is_counted(&self, call: usize) -> bool {
+        call as f64 >= self.arrivals.len() as f64 * WARM_UP_SHARE
+    }
+
+    fn read(&mut self, now_us: u64) {
+        for engine in &mut self.engines {
+            engine.snapshot(now_us);
+        }
+        if self.conditions.events {
+            self.read_cache_events(now_us);
+        }
+        self.push(now_us + READING_US, Event::Read);
+    }
+
+    fn read_cache_events(&mut self, now_us: u64) {
+        let to_us = now_us.saturating_sub(EVENT_DELAY_US);
+        let from_us = to_us.saturating_sub(READING_US);
+        for (engine, (name, _)) in self.engines.iter().zip(&self.names) {
+            let events = engine.events(from_us, to_us);
+            let kept: Vec<_> = events
+                .iter()
+                .filter(|_| !self.loss.random_bool(self.conditions.lost_share))
+                .map(|(_, event)| event.clone())
+                .collect();
+            for node in &mut self.nodes {
+                node.beliefs.of_mut(name).take_events(kept.clone());
+            }
+        }
+    }
+
+    fn arrived(&mut self, index: usize, now_us: u64) {
+        let job = &self.arrivals[index].job;
+        let number = self.node_of(index);
+        let candidates = self.candidates(number, now_us);
+        let (counter_ms, deferrable_ms) = TARGETS_MS;
+        let target_ms = if job.priority == Priority::Counter { counter_ms } else { deferrable_ms };
+        let call = Call {
+            blocks: job.blocks.clone(),
+            prompt_tokens: job.prompt_tokens,
+            priority: job.priority,
+            target_ms,
+            deadline_ms: target_ms * 2,
+        };
+        let node = &mut self.nodes[number];
+        let chosen = node.policy.choose(&call, &candidates, &node.beliefs, &mut node.random);
+        let Some(choice) = chosen else { return };
+        let name = &self.names[choice.index].0;
+        node.sent.sent(index as u128, name, choice.prefill_tokens, now_us / 1_000);
+        if self.conditions.expect_own {
+            node.beliefs.of_mut(name).expect(&job.blocks);
+        }
+        self.engines[choice.index].enqueue(job.clone());
+        self.start(choice.index, now_us);
+    }
+
+    fn candidates(&self, node: usize, now_us: u64) -> Vec<Candidate> {
+        let seen_at_us = now_us.saturating_sub(self.conditions.lag_us);
+        let sent = &self.nodes[node].sent;
+        let candidate = |index: usize| {
+            let report = self.engines[index].report(seen_at_us);
+            let (name, name_hash) = &self.names[index];
+            let correction = if self.conditions.correct_lag {
+                sent.correction(name, report)
+            } else {
+                Correction::default()
+            };
+            Candidate {
+                name: name.clone(),
+                name_hash: *name_hash,
+                load: Load::corrected(report, correction, sent.mean_stream_ms()),
+                near: index % DATA_CENTERS == node % DATA_CENTERS,
+                price_millicents_per_h: price(index),
+            }
+        };
+        (0..RUNNERS).map(candidate).collect()
+    }
+
+    fn start(&mut self, runner: usize, now_us: u64) {
+        let Some(prefill) = self.engines[runner].start(now_us) else {
+            return;
+        };
+        self.push(prefill.done_at_us, Event::Prefilled(runner));
+        let again = prefill.computed.iter().filter(|block| !self.seen.insert(**block));
+        let again_tokens = again.count() as u64 * fl_protocol::engine::BLOCK_TOKENS as u64;
+        if now_us >= self.warm_up_us() {
+            self.outcome.recomputed_tokens += again_tokens;
+            self.outcome.cost += prefill.computed_tokens as f64 * price(runner) as f64;
+        }
+    }
+
+    fn warm_up_us(&self) -> u64 {
+        let index = (self.arrivals.len() as f64 * WARM_UP_SHARE) as usize;
+        self.arrivals[index].at_us
+    }
+
+    fn prefilled(&mut self, runner: usize, now_us: u64) {
+        let Some((job, ends_at_us)) = self.engines[runner].prefilled(now_us) else {
+            return;
+        };
+        let number = self.node_of(job.call);
+        self.nodes[number].sent.first_token(job.call as u128, now_us / 1_000);
+        self.push(ends_at_us, Event::Ended(runner, job.call));
+        if self.is_counted(job.call) {
+            let waited_ms = (now_us - self.arrivals[job.call].at_us) as f64 / 1_000.0;
+            let list = match job.priority {
+                Priority::Counter => &mut self.outcome.counter_ms,
+                Priority::Deferrable => &mut self.outcome.deferrable_ms,
+            };
+            list.push(waited_ms);
+            self.outcome.prompt_tokens += job.prompt_tokens;
+            self.outcome.generated_tokens += job.answer_tokens;
+        }
+        self.start(runner, now_us);
+    }
+
+    fn ended(&mut self, runner: usize, call: usize, now_us: u64) {
+        self.engines[runner].ended();
+        let number = self.node_of(call);
+        let name = self.names[runner].0.clone();
+        self.nodes[number].sent.ended(call as u128, &name, now_us / 1_000);
+        self.start(runner, now_us);
+    }
+}
--- a/crates/fl-routing/src/policy/prefix.rs
+++ b/crates/fl-routing/src/policy/prefix.rs
@@ -10,7 +10,7 @@
 use crate::belief::Beliefs;
 use crate::rendezvous::top;
 use fl_protocol::Priority;
-use home::Popularity;
+use home::{Home, Popularity};
 use rand::{Rng, RngExt};
 
 /// Runners with the greatest ranks that are considered as homes.
@@ -21,6 +21,12 @@
 const LOAD_BOUND: f64 = 1.25;
 /// Share of its target a deferrable call spends on waiting for its prefix's home.
 const SLACK_SHARE: f64 = 0.5;
+/// Blocks behind the shared part that tell whether a runner holds a prefix.
+const PROBED_BLOCKS: usize = 4;
+/// Among more runners than this, only those of the own data centre are probed.
+const PROBED_RUNNERS: usize = 128;
+/// Share of its target within which a counter call goes where it is cheap.
+const PRICE_SHARE: f64 = 0.5;
 /// What a runner in another data centre costs extra, in milliseconds.
 const FAR_MS: f64 = 2.0;
 
@@ -48,10 +54,10 @@
         Switches {
             home: HomeRule::FirstLight,
             bounded_load: true,
-            random_picks: true,
+            random_picks: false,
             holders: true,
             wait_for_home: true,
-            price: true,
+            price: false,
             near: true,
         }
     }
@@ -73,19 +79,19 @@
     fn shortlist(
         &self,
         call: &Call,
-        key: u64,
+        home: &Home,
         candidates: &[Candidate],
         beliefs: &Beliefs,
         random: &mut dyn Rng,
     ) -> Vec<usize> {
         let hashes: Vec<u64> = candidates.iter().map(|candidate| candidate.name_hash).collect();
-        let mut picks = top(key, &hashes, HOMES);
+        let mut picks = top(home.key, &hashes, HOMES);
         if self.switches.bounded_load && call.priority == Priority::Counter {
             let bound = load_bound(candidates);
             picks.retain(|index| candidates[*index].load.fill() <= bound);
         }
         if self.switches.holders {
-            picks.extend(best_holder(call, candidates, beliefs));
+            picks.extend(best_holder(call, home, candidates, beliefs));
         }
         if self.switches.random_picks || picks.is_empty() {
             picks.extend((0..RANDOM_PICKS).map(|_| random.random_range(0..candidates.len())));
@@ -104,8 +110,8 @@
         let cost_ms = |choice: &Choice| self.cost_ms(choice, &candidates[choice.index]);
         let price = |choice: &Choice| candidates[choice.index].price_millicents_per_h as f64;
         let waits = call.priority == Priority::Deferrable && self.switches.wait_for_home;
-        let bound_ms =
-            if waits { call.target_ms as f64 * SLACK_SHARE } else { call.target_ms as f64 };
+        let share = if waits { SLACK_SHARE } else { PRICE_SHARE };
+        let bound_ms = call.target_ms as f64 * share;
         let in_time = choices.iter().filter(|choice| cost_ms(choice) <= bound_ms);
         let within = if waits {
             least(in_time, |choice| (choice.prefill_tokens as f64, cost_ms(choice)))
@@ -129,9 +135,9 @@
         if candidates.is_empty() {
             return None;
         }
-        let key = self.popularity.home_key(self.switches.home, &call.blocks, candidates.len());
-        let picks = match key {
-            Some(key) => self.shortlist(call, key, candidates, beliefs, random),
+        let home = self.popularity.home(self.switches.home, &call.blocks, candidates.len());
+        let picks = match home {
+            Some(home) => self.shortlist(call, &home, candidates, beliefs, random),
             None => (0..candidates.len()).collect(),
         };
         let choices: Vec<Choice> =
@@ -146,13 +152,26 @@
     LOAD_BOUND * sum / candidates.len() as f64 + one_stream
 }
 
-fn best_holder(call: &Call, candidates: &[Candidate], beliefs: &Beliefs) -> Option<usize> {
+/// Finds the runner that holds most of the prompt beyond what many calls share.
+///
+/// Engines evict the last blocks first, so a runner that holds any deep block holds one of the
+/// first behind the shared part; only such runners are looked at closely.
+fn best_holder(
+    call: &Call,
+    home: &Home,
+    candidates: &[Candidate],
+    beliefs: &Beliefs,
+) -> Option<usize> {
+    let end = (home.index + PROBED_BLOCKS).min(call.blocks.len());
+    let probe = &call.blocks[home.index..end];
     let held = |index: usize| {
-        let belief = beliefs.of(&candidates[index].name);
-        belief.map_or(0, |belief| belief.cached_blocks(&call.blocks))
+        let belief = beliefs.of(&candidates[index].name)?;
+        let holds_some = belief.cached_blocks(probe) > 0;
+        holds_some.then(|| (belief.cached_blocks(&call.blocks), index))
     };
-    let holders = (0..candidates.len()).map(|index| (held(index), index));
-    holders.filter(|(blocks, _)| *blocks > 0).max().map(|(_, index)| index)
+    let far_too = candidates.len() <= PROBED_RUNNERS;
+    let probed = (0..candidates.len()).filter(|index| far_too || candidates[*index].near);
+    probed.filter_map(held).max().map(|(_, index)| index)
 }
 
 fn least<'a>(
--- a/crates/fl-routing/src/policy/prefix/home.rs
+++ b/crates/fl-routing/src/policy/prefix/home.rs
@@ -18,6 +18,15 @@
     FirstLight,
 }
 
+/// The block that picks the homes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Home {
+    /// Its place in the prompt.
+    pub index: usize,
+    /// Its hash.
+    pub key: BlockHash,
+}
+
 /// Counts how often the leading blocks of prompts were seen, sorted by block.
 #[derive(Debug, Clone, Default)]
 pub struct Popularity {
@@ -26,27 +35,23 @@
 }
 
 impl Popularity {
-    /// Gives the hash that picks the homes; `None` for a prompt without a full block.
-    pub fn home_key(
-        &mut self,
-        rule: HomeRule,
-        blocks: &[BlockHash],
-        runners: usize,
-    ) -> Option<BlockHash> {
+    /// Gives the block that picks the homes; `None` for a prompt without a full block.
+    pub fn home(&mut self, rule: HomeRule, blocks: &[BlockHash], runners: usize) -> Option<Home> {
         match rule {
             HomeRule::Block(number) => {
                 let index = number.max(1).min(blocks.len()).checked_sub(1)?;
-                blocks.get(index).copied()
+                blocks.get(index).map(|key| Home { index, key: *key })
             }
             HomeRule::FirstLight => self.first_light(blocks, runners),
         }
     }
 
-    fn first_light(&mut self, blocks: &[BlockHash], runners: usize) -> Option<BlockHash> {
+    fn first_light(&mut self, blocks: &[BlockHash], runners: usize) -> Option<Home> {
         self.count_call();
         let heavy = (self.calls.max(FIRST_CALLS) as usize / runners.max(1)).max(2) as u32;
-        let light = blocks.iter().find(|block| self.count(**block) < heavy);
-        light.or(blocks.last()).copied()
+        let light = blocks.iter().position(|block| self.count(*block) < heavy);
+        let index = light.or(blocks.len().checked_sub(1))?;
+        Some(Home { index, key: blocks[index] })
     }
 
     fn count_call(&mut self) {
--- /dev/null
+++ b/crates/fl-routing/tests/policies.rs
@@ -0,0 +1,129 @@
+//! What each policy chooses, and how its load estimate is corrected.
+
+use fl_protocol::Priority;
+use fl_protocol::engine::LoadReport;
+use fl_routing::belief::Beliefs;
+use fl_routing::estimate::Load;
+use fl_routing::policy::{Call, Candidate, policy_of};
+use fl_routing::rendezvous::{name_hash, rank};
+use fl_routing::sent::{Correction, SentWork};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const LONG: u64 = 100;
+
+fn candidates(waiting_prefill_tokens: &[u64]) -> Vec<Candidate> {
+    let candidate = |(index, waiting): (usize, &u64)| {
+        let name = format!("r{index:02}");
+        let report = LoadReport {
+            slots: 8,
+            prefill_tokens_per_s: 10_000,
+            waiting_prefill_tokens: *waiting,
+            ..LoadReport::default()
+        };
+        let load = Load::corrected(Some(&report), Correction::default(), 1_000.0);
+        let name_hash = name_hash(&name);
+        Candidate { name, name_hash, load, near: true, price_millicents_per_h: 0 }
+    };
+    waiting_prefill_tokens.iter().enumerate().map(candidate).collect()
+}
+
+fn call(history: u64, priority: Priority) -> Call {
+    Call {
+        blocks: (0..LONG).map(|number| rank(history, number)).collect(),
+        prompt_tokens: LONG * 16,
+        priority,
+        target_ms: 2_000,
+        deadline_ms: 4_000,
+    }
+}
+
+fn choose(policy: &str, call: &Call, candidates: &[Candidate], beliefs: &Beliefs) -> usize {
+    choose_seeded(3, policy, call, candidates, beliefs)
+}
+
+fn choose_seeded(
+    seed: u64,
+    policy: &str,
+    call: &Call,
+    candidates: &[Candidate],
+    beliefs: &Beliefs,
+) -> usize {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    policy_of(policy).choose(call, candidates, beliefs, &mut random).unwrap().index
+}
+
+#[rstest]
+#[case::deferrable_waits(Priority::Deferrable, 5_000, 4)]
+#[case::deferrable_beyond_slack(Priority::Deferrable, 50_000, 0)]
+#[case::counter_takes_the_fastest(Priority::Counter, 50_000, 0)]
+fn holder_under_load(#[case] priority: Priority, #[case] waiting: u64, #[case] expected: usize) {
+    let call = call(1, priority);
+    let others = 2_000;
+    let candidates = candidates(&[0, others, others, others, waiting]);
+    let mut beliefs = Beliefs::default();
+    beliefs.of_mut("r04").expect(&call.blocks);
+    let chosen = choose("prefix", &call, &candidates, &beliefs);
+    assert_eq!(chosen == 4, expected == 4, "chose {chosen}");
+}
+
+#[test]
+fn same_home() {
+    let candidates = candidates(&[0; 12]);
+    for history in 1..50 {
+        let call = call(history, Priority::Deferrable);
+        let homes: Vec<usize> = (0..3)
+            .map(|seed| choose_seeded(seed, "prefix", &call, &candidates, &Beliefs::default()))
+            .collect();
+        assert!(homes.iter().all(|home| *home == homes[0]), "nodes disagree: {homes:?}");
+    }
+}
+
+#[test]
+fn least_loaded() {
+    let call = call(1, Priority::Counter);
+    assert_eq!(choose("least-loaded", &call, &candidates(&[9, 9, 0, 9]), &Beliefs::default()), 2);
+}
+
+#[test]
+fn round_robin() {
+    let (call, candidates) = (call(1, Priority::Counter), candidates(&[0; 3]));
+    let mut policy = policy_of("round-robin");
+    let mut random = ChaCha8Rng::seed_from_u64(3);
+    let mut next = || {
+        let choice = policy.choose(&call, &candidates, &Beliefs::default(), &mut random);
+        choice.unwrap().index
+    };
+    assert_eq!([next(), next(), next(), next()], [0, 1, 2, 0]);
+}
+
+#[test]
+fn no_candidates() {
+    let call = call(1, Priority::Counter);
+    let mut random = ChaCha8Rng::seed_from_u64(3);
+    for name in ["prefix", "least-loaded", "round-robin"] {
+        assert!(policy_of(name).choose(&call, &[], &Beliefs::default(), &mut random).is_none());
+    }
+}
+
+#[test]
+fn lagged_report() {
+    let mut sent = SentWork::default();
+    let report = LoadReport { as_of_ms: 1_000, running: 2, ..LoadReport::default() };
+    sent.sent(1, "r1", 100, 900);
+    sent.sent(2, "r1", 200, 1_100);
+    sent.sent(3, "r1", 400, 1_200);
+    sent.sent(4, "r2", 800, 1_200);
+    sent.first_token(3, 1_300);
+    sent.ended(1, "r1", 1_400);
+    let correction = sent.correction("r1", Some(&report));
+    let expected = Correction {
+        added_streams: 2,
+        added_prefill_tokens: 200,
+        ended_streams: 1,
+        own_streams: 2,
+    };
+    assert_eq!(correction, expected);
+    assert_eq!(Load::corrected(Some(&report), correction, 0.0).streams, 3);
+}
