--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -3,8 +3,22 @@
 //! Each module starts one service and registers it under its name; `run` starts them in order. See
 //! `docs/design/010-packages.md`.
 
+pub mod admin;
+pub mod configuration;
 pub mod context;
 pub mod directory;
+pub mod event_log;
+pub mod fleet;
+pub mod front;
+mod interim;
+pub mod lease;
+pub mod logging;
+pub mod membership;
+pub mod options;
+pub mod readiness;
 pub mod routing;
+pub mod run;
+pub mod streams;
 
 pub use context::{ServiceContext, StartError};
+pub use run::start;
