--- a/crates/fl-routing/tests/policies.rs
+++ b/crates/fl-routing/tests/policies.rs
@@ -51,7 +51,8 @@
     beliefs: &Beliefs,
 ) -> usize {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    policy_of(policy).choose(call, candidates, beliefs, &mut random).unwrap().index
+    let choice = policy_of(policy).choose(call, candidates, beliefs, &mut random);
+    choice.map_or(usize::MAX, |choice| choice.index)
 }
 
 #[rstest]
