Admit calls through a fair queue with adaptive places and retry budgets

Cause: every call was let through at once, so one workspace could fill all runners, and retries had no bound.

Change: per priority class the workspace that got the fewest tokens for its weight goes next; prompts are charged at the turn, answers as they are produced, and a workspace that was idle is lifted to the least active counter. One turn in eight goes to a deferrable call. Limits of workspaces are token buckets at this node's share. The places of a node are its share of what the runners' reports show them to take without queueing; idle places of other nodes may be borrowed up to twice the share. A call that cannot meet its deadline is refused at once with the time by which it misses. Retries are a share of the tries at a back end, three in reserve.

--- a/crates/fl-limits/src/lib.rs
+++ b/crates/fl-limits/src/lib.rs
@@ -1,1 +1,16 @@
 //! Fair queues, admission, adaptive limits and retry budgets as pure data.
+//!
+//! See `docs/design/055-fairness-and-admission.md`.
+
+pub mod adaptive_limit;
+pub mod back_off;
+pub mod fair_queue;
+pub mod retry_budget;
+pub mod shares;
+pub mod token_bucket;
+pub mod wait;
+
+pub use adaptive_limit::AdaptiveLimit;
+pub use fair_queue::{FairQueue, Ticket};
+pub use retry_budget::RetryBudget;
+pub use token_bucket::TokenBucket;
--- /dev/null
+++ b/crates/fl-limits/tests/limits.rs
@@ -0,0 +1,134 @@
+//! Buckets, adaptive limits, budgets, back-off, shares and refusals at the door.
+
+use fl_limits::back_off::back_off;
+use fl_limits::retry_budget::RESERVE;
+use fl_limits::shares::{live_nodes, share};
+use fl_limits::wait::{Pace, refusal};
+use fl_limits::{AdaptiveLimit, RetryBudget, TokenBucket};
+use fl_protocol::engine::LoadReport;
+use fl_protocol::{Member, MemberState};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+#[test]
+fn bucket() {
+    let mut bucket = TokenBucket::new(100.0, 0);
+    assert_eq!(bucket.try_take(200.0, 0), Ok(()));
+    assert_eq!(bucket.try_take(50.0, 0), Err(Duration::from_millis(500)));
+    assert_eq!(bucket.try_take(50.0, 500), Ok(()));
+    bucket.charge(100.0, 500);
+    assert_eq!(bucket.try_take(50.0, 1_000), Err(Duration::from_millis(1_000)));
+}
+
+#[test]
+fn long_prompt() {
+    let mut bucket = TokenBucket::new(100.0, 0);
+    assert_eq!(bucket.try_take(1_000.0, 0), Ok(()), "it would never pass otherwise");
+    assert_eq!(bucket.try_take(1.0, 8_000), Err(Duration::from_millis(10)));
+}
+
+#[test]
+fn lower_rate() {
+    let mut bucket = TokenBucket::unused(0);
+    bucket.set_rate(100.0, 0);
+    bucket.set_rate(10.0, 0);
+    assert!(bucket.try_take(20.0, 0).is_ok());
+    assert!(bucket.try_take(1.0, 0).is_err());
+}
+
+fn report(as_of_ms: u64, running: u32, waiting: u32, waiting_prefill_tokens: u64) -> LoadReport {
+    LoadReport {
+        as_of_ms,
+        running,
+        waiting,
+        waiting_prefill_tokens,
+        slots: 32,
+        prefill_tokens_per_s: 10_000,
+        ..LoadReport::default()
+    }
+}
+
+#[rstest]
+#[case::busy_without_queue(report(1, 8, 0, 0), 9.0)]
+#[case::idle(report(1, 1, 0, 0), 8.0)]
+#[case::long_prefill_queue(report(1, 4, 4, 20_000), 7.2)]
+#[case::short_prefill_queue(report(1, 7, 1, 500), 9.0)]
+#[case::old_report(report(0, 4, 4, 20_000), 8.0)]
+fn adaptive(#[case] report: LoadReport, #[case] expected: f64) {
+    let mut limit = AdaptiveLimit::default();
+    limit.observe(&report);
+    limit.observe(&report);
+    assert!((limit.streams() - expected).abs() < 1e-9, "{}", limit.streams());
+}
+
+#[test]
+fn adaptive_converges() {
+    let mut limit = AdaptiveLimit::default();
+    for as_of_ms in 1..200 {
+        let sent = limit.streams() as u32;
+        let running = sent.min(32);
+        limit.observe(&report(as_of_ms, running, sent - running, 0));
+    }
+    assert!((28.0..=34.0).contains(&limit.streams()), "{}", limit.streams());
+}
+
+#[rstest]
+#[case::storm(10, 1_000, 100)]
+#[case::none_allowed(0, 1_000, 0)]
+fn budget(#[case] percent: u32, #[case] first_tries: u32, #[case] earned: u32) {
+    let mut budget = RetryBudget::new(percent);
+    let mut retries = 0;
+    for _ in 0..first_tries {
+        budget.count_first_try();
+        retries += (0..3).filter(|_| budget.try_retry()).count() as u32;
+    }
+    let reserve = if percent == 0 { 0 } else { RESERVE as u32 };
+    assert!(retries <= earned + reserve, "{retries}");
+    assert!(retries >= earned.saturating_sub(1), "{retries}");
+}
+
+#[test]
+fn back_off_bounds() {
+    let mut random = ChaCha8Rng::seed_from_u64(5);
+    let (first, limit) = (Duration::from_millis(50), Duration::from_secs(2));
+    for tries in 0..100 {
+        let longest = first.saturating_mul(1 << tries.min(16)).min(limit);
+        let delays: Vec<Duration> =
+            (0..20).map(|_| back_off(tries, first, limit, &mut random)).collect();
+        assert!(delays.iter().all(|delay| *delay <= longest));
+        assert!(delays.iter().any(|delay| *delay != delays[0]), "no jitter");
+    }
+}
+
+#[test]
+fn shares() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let member = |state| Member {
+        vm: "n1".to_string(),
+        data_center: "dc1".to_string(),
+        peer_address: address,
+        gossip_address: address,
+        admin_address: address,
+        incarnation: 1,
+        state,
+    };
+    use MemberState::{Alive, CutOff, Dead, Leaving, Suspect};
+    let members = [Alive, Suspect, Leaving, CutOff, Dead].map(member);
+    assert_eq!(live_nodes(&members), 2);
+    assert_eq!(live_nodes(&[]), 1);
+    assert!((share(600.0, 6) - 100.0).abs() < f64::EPSILON);
+}
+
+#[test]
+fn refusals() {
+    let mut pace = Pace::default();
+    (0..500).for_each(|_| pace.ended(Duration::from_millis(400)));
+    let wait = pace.wait(39, 8.0);
+    assert!((wait.as_secs_f64() - 2.0).abs() < 0.01, "{wait:?}");
+    assert_eq!(refusal(wait, Duration::from_secs(3)), None);
+    let retry_after = refusal(wait, Duration::from_millis(500)).unwrap();
+    assert!((retry_after.as_secs_f64() - 1.5).abs() < 0.01);
+}
--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -4,6 +4,7 @@
 //! `docs/design/010-packages.md`.
 
 pub mod admin;
+pub mod admission;
 pub mod configuration;
 pub mod context;
 pub mod directory;
--- a/crates/fl-node/src/run.rs
+++ b/crates/fl-node/src/run.rs
@@ -6,7 +6,8 @@
 use crate::readiness::{READINESS, Readiness};
 use crate::streams::{self, Streams};
 use crate::{
-    admin, configuration, directory, event_log, fleet, interim, lease, logging, membership, routing,
+    admin, admission, configuration, directory, event_log, fleet, interim, lease, logging,
+    membership, routing,
 };
 use fl_config::Settings;
 use fl_kernel::clock::unix_ms;
@@ -80,6 +81,7 @@
     admin::install_metrics(context)?;
     event_log::start(context)?;
     interim::start(context)?;
+    admission::start(context)?;
     membership::start(context).await?;
     configuration::start(context)?;
     directory::start(context)?;
--- a/crates/fl-routing/src/servers.rs
+++ b/crates/fl-routing/src/servers.rs
@@ -10,6 +10,9 @@
 
 /// How long after its end a leaving VM is remembered, in milliseconds, unless the list has it.
 const FORGET_LEAVING_AFTER_MS: u64 = 600_000;
+/// Time that a VM is assumed to have left when only the list says that it leaves, in milliseconds;
+/// the list gives no time and lags.
+const UNTIMED_LEFT_MS: u64 = 5_000;
 /// How long a server rests after its first failed contact, in milliseconds; doubles each time.
 const FIRST_REST_MS: u64 = 500;
 /// The longest rest after failed contacts, in milliseconds.
@@ -66,7 +69,7 @@
         vms.dedup_by(|left, right| left.name == right.name);
         let mut changed = vms != self.vms;
         for vm in vms.iter().filter(|vm| vm.leaving) {
-            changed |= self.insert_leaving(&vm.name, now_ms, false);
+            changed |= self.insert_leaving(&vm.name, now_ms + UNTIMED_LEFT_MS, false);
         }
         self.vms = vms;
         self.forget(now_ms);
