--- /dev/null
+++ b/crates/fl-limits/benches/fair_queue.rs
@@ -0,0 +1,50 @@
+//! Cost of the queue's operations with a few and with many workspaces.
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use fl_limits::FairQueue;
+use fl_limits::fair_queue::Waiting;
+use fl_protocol::Priority;
+
+/// Calls that wait in each workspace.
+const WAITING: u64 = 20;
+
+fn filled(names: &[String]) -> FairQueue {
+    let mut queue = FairQueue::default();
+    for (index, name) in names.iter().enumerate() {
+        for number in 0..WAITING {
+            let ticket = index as u64 * WAITING + number;
+            queue.push(name, 1, Priority::Counter, Waiting { ticket, prompt_tokens: 100 });
+        }
+    }
+    queue
+}
+
+fn operations(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("fair_queue");
+    for workspaces in [5_usize, 100, 1_000] {
+        let names: Vec<String> =
+            (0..workspaces).map(|number| format!("workspace-{number:04}")).collect();
+        let mut queue = filled(&names);
+        let mut next = 0;
+        let name = &names[workspaces / 2];
+        group.bench_function(BenchmarkId::new("push, pop, charge, end", workspaces), |bencher| {
+            bencher.iter(|| {
+                next += 1;
+                let call = Waiting { ticket: 1_000_000 + next, prompt_tokens: 100 };
+                queue.push(&names[next as usize % workspaces], 1, Priority::Counter, call);
+                queue.charge(name, Priority::Counter, 1);
+                let ticket = queue.pop();
+                queue.ended(name, Priority::Counter);
+                ticket
+            })
+        });
+        let queue = filled(&names);
+        group.bench_function(BenchmarkId::new("ahead", workspaces), |bencher| {
+            bencher.iter(|| queue.ahead(name, 1, Priority::Counter))
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, operations);
+criterion_main!(benches);
--- a/crates/fl-limits/src/wait.rs
+++ b/crates/fl-limits/src/wait.rs
@@ -4,6 +4,15 @@
 
 /// Weight of the newest call in the mean time between turns.
 const MEAN_WEIGHT: f64 = 0.05;
+/// Share of a deadline that may be spent at the door; estimates are uncertain and a call that was
+/// let in too late has used a place for nothing.
+const USABLE_SHARE: f64 = 0.7;
+/// Estimates below this say little about the error.
+const SHORTEST_LEARNED: Duration = Duration::from_millis(50);
+/// Weight of the newest wait in a correction.
+const FACTOR_WEIGHT: f64 = 0.05;
+/// The largest correction.
+const LARGEST_FACTOR: f64 = 10.0;
 /// Milliseconds in a second.
 const MS_PER_S: f64 = 1_000.0;
 
@@ -33,7 +42,39 @@
     }
 }
 
-/// Says when to come back if the estimated wait goes beyond the deadline.
+/// Learns by how much the waits of one workspace are underestimated.
+///
+/// Calls of others that come later may go first, which the queue cannot know beforehand.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WaitCorrection {
+    factor: f64,
+}
+
+impl Default for WaitCorrection {
+    fn default() -> Self {
+        WaitCorrection { factor: 1.0 }
+    }
+}
+
+impl WaitCorrection {
+    /// Takes what was estimated before correction and what the wait came to.
+    pub fn learn(&mut self, estimated: Duration, waited: Duration) {
+        if estimated < SHORTEST_LEARNED {
+            return;
+        }
+        let ratio = waited.as_secs_f64() / estimated.as_secs_f64();
+        let bounded = ratio.clamp(1.0, LARGEST_FACTOR);
+        self.factor += (bounded - self.factor) * FACTOR_WEIGHT;
+    }
+
+    /// Corrects an estimate.
+    pub fn apply(&self, estimated: Duration) -> Duration {
+        estimated.mul_f64(self.factor)
+    }
+}
+
+/// Says when to come back if the estimated wait would use up too much of the deadline.
 pub fn refusal(wait: Duration, deadline: Duration) -> Option<Duration> {
-    (wait > deadline).then(|| wait - deadline)
+    let usable = deadline.mul_f64(USABLE_SHARE);
+    (wait > usable).then(|| wait - usable)
 }
--- a/crates/fl-node/src/admission/door.rs
+++ b/crates/fl-node/src/admission/door.rs
@@ -2,10 +2,10 @@
 
 use fl_limits::fair_queue::Waiting;
 use fl_limits::shares::share;
-use fl_limits::wait::{Pace, refusal};
+use fl_limits::wait::{Pace, WaitCorrection, refusal};
 use fl_limits::{FairQueue, Ticket, TokenBucket};
 use fl_protocol::{Priority, Problem, UnixMs, Workspace, WorkspaceName};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
 /// Places before anything is known of the runners.
@@ -27,10 +27,19 @@
     pub turn: oneshot::Sender<()>,
 }
 
+struct Turn {
+    ticket: Ticket,
+    workspace: WorkspaceName,
+    since: Instant,
+    estimated: Duration,
+    came: oneshot::Sender<()>,
+}
+
 struct Limits {
     workspace: WorkspaceName,
     tokens: TokenBucket,
     requests: TokenBucket,
+    correction: WaitCorrection,
 }
 
 /// The state behind the door.
@@ -42,7 +51,7 @@
     live_nodes: usize,
     next_ticket: Ticket,
     /// Sorted by ticket, since tickets only grow.
-    turns: Vec<(Ticket, oneshot::Sender<()>)>,
+    turns: Vec<Turn>,
     /// Sorted by workspace.
     limits: Vec<Limits>,
 }
@@ -70,7 +79,7 @@
         declared: Option<&Workspace>,
         now_ms: UnixMs,
     ) -> Result<Ticket, Problem> {
-        self.check_deadline(&entry)?;
+        let estimated = self.check_deadline(&entry, now_ms)?;
         if let Some(declared) = declared {
             self.check_limits(&entry, declared, now_ms)?;
         }
@@ -78,7 +87,13 @@
         self.next_ticket += 1;
         let call = Waiting { ticket, prompt_tokens: entry.prompt_tokens };
         self.queue.push(&entry.workspace, entry.weight, entry.priority, call);
-        self.turns.push((ticket, entry.turn));
+        self.turns.push(Turn {
+            ticket,
+            workspace: entry.workspace,
+            since: Instant::now(),
+            estimated,
+            came: entry.turn,
+        });
         Ok(ticket)
     }
 
@@ -89,16 +104,13 @@
                 return;
             };
             self.running += 1;
-            if let Ok(index) = self.turns.binary_search_by_key(&ticket, |(turn, _)| *turn) {
-                // A caller that went away gives its place back itself, as its turn had come.
-                let _ = self.turns.remove(index).1.send(());
-            }
+            self.give_turn(ticket);
         }
     }
 
     /// Takes word that a call stopped waiting, before its turn or just after it.
     pub fn give_up(&mut self, workspace: &str, priority: Priority, ticket: Ticket) {
-        self.turns.retain(|(turn, _)| *turn != ticket);
+        self.turns.retain(|turn| turn.ticket != ticket);
         if !self.queue.remove(workspace, priority, ticket) {
             self.queue.ended(workspace, priority);
             self.running = self.running.saturating_sub(1);
@@ -136,15 +148,29 @@
         self.queue.len()
     }
 
-    fn check_deadline(&self, entry: &Entry) -> Result<(), Problem> {
+    fn give_turn(&mut self, ticket: Ticket) {
+        let Ok(index) = self.turns.binary_search_by_key(&ticket, |turn| turn.ticket) else {
+            return;
+        };
+        let turn = self.turns.remove(index);
+        if let Ok(place) = self.limits_place(&turn.workspace) {
+            self.limits[place].correction.learn(turn.estimated, turn.since.elapsed());
+        }
+        // A caller that went away gives its place back itself, as its turn had come.
+        let _ = turn.came.send(());
+    }
+
+    /// Estimates the wait, or refuses what would wait beyond its deadline.
+    fn check_deadline(&mut self, entry: &Entry, now_ms: UnixMs) -> Result<Duration, Problem> {
         if (self.running as f64) < self.places && self.queue.is_empty() {
-            return Ok(());
+            return Ok(Duration::ZERO);
         }
         let ahead = self.queue.ahead(&entry.workspace, entry.weight, entry.priority);
-        let wait = self.pace.wait(ahead, self.places);
+        let estimated = self.pace.wait(ahead, self.places);
+        let wait = self.limits_of(&entry.workspace, now_ms).correction.apply(estimated);
         match refusal(wait, entry.deadline) {
             Some(retry_after) => Err(Problem::Overloaded { retry_after }),
-            None => Ok(()),
+            None => Ok(estimated),
         }
     }
 
@@ -178,8 +204,12 @@
     fn limits_of(&mut self, workspace: &str, now_ms: UnixMs) -> &mut Limits {
         let index = self.limits_place(workspace).unwrap_or_else(|index| {
             let unused = || TokenBucket::unused(now_ms);
-            let limits =
-                Limits { workspace: workspace.to_string(), tokens: unused(), requests: unused() };
+            let limits = Limits {
+                workspace: workspace.to_string(),
+                tokens: unused(),
+                requests: unused(),
+                correction: WaitCorrection::default(),
+            };
             self.limits.insert(index, limits);
             index
         });
