Let one node use what the others leave idle, and spread short prompts

Cause: 24 streams at one of six nodes before an idle pool of 48 slots: 16 of them waited 4 s. The router's costs tied for prompts that no cache helps, so the nearest runner got all until its slots were gone (20 of 24). The door's limit began at 8 streams a runner whatever the runner reported, grew only when busy, and a node borrowed at most twice its share. Ruled out: the engines (16 slots each, 2 ms to the first token when asked). Change: a full runner costs 20 ms more than an empty one; the limit begins at the slots that a report names; a node borrows up to four times its share.

--- a/crates/fl-limits/src/adaptive_limit.rs
+++ b/crates/fl-limits/src/adaptive_limit.rs
@@ -3,7 +3,7 @@
 use fl_protocol::UnixMs;
 use fl_protocol::engine::LoadReport;
 
-/// The limit before anything was observed, in streams.
+/// The limit before a report named the server's slots, in streams.
 const FIRST_LIMIT: f64 = 8.0;
 /// The limit never falls below this, so that a server in trouble is still tried.
 const LEAST_LIMIT: f64 = 1.0;
@@ -42,6 +42,9 @@
         if report.as_of_ms <= self.as_of_ms {
             return;
         }
+        if self.as_of_ms == 0 && report.slots > 0 {
+            self.limit = f64::from(report.slots);
+        }
         self.as_of_ms = report.as_of_ms;
         let streams = f64::from(report.running + report.waiting);
         if is_queueing(report) {
--- a/crates/fl-node/src/admission/pool.rs
+++ b/crates/fl-node/src/admission/pool.rs
@@ -14,7 +14,7 @@
 const REVIEW: Duration = Duration::from_millis(100);
 
 /// Times its share that a node uses at most, while others leave theirs idle.
-const BORROWING_LIMIT: f64 = 2.0;
+const BORROWING_LIMIT: f64 = 4.0;
 
 /// Limits of the runners, sorted by VM name.
 #[derive(Default)]
--- a/crates/fl-routing/src/policy/prefix.rs
+++ b/crates/fl-routing/src/policy/prefix.rs
@@ -29,6 +29,11 @@
 const PRICE_SHARE: f64 = 0.5;
 /// What a runner in another data centre costs extra, in milliseconds.
 const FAR_MS: f64 = 2.0;
+/// What a full runner costs more than an empty one, in milliseconds.
+///
+/// A stream in a full batch decodes slower and the next one waits for a slot; without this all
+/// calls that no cache can help go to the first runner until its slots are gone.
+const FULL_MS: f64 = 20.0;
 
 /// The ideas of the policy, each of which can be switched off to measure it.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -103,7 +108,7 @@
 
     fn cost_ms(&self, choice: &Choice, candidate: &Candidate) -> f64 {
         let far_ms = if self.switches.near && !candidate.near { FAR_MS } else { 0.0 };
-        choice.first_token_ms + far_ms
+        choice.first_token_ms + far_ms + FULL_MS * candidate.load.fill()
     }
 
     fn pick(&self, call: &Call, candidates: &[Candidate], choices: &[Choice]) -> Option<Choice> {
--- /dev/null
+++ b/crates/fl-routing/tests/spread.rs
@@ -0,0 +1,56 @@
+//! Short prompts, which no cache can help, spread over the runners.
+
+use fl_protocol::Priority;
+use fl_protocol::engine::LoadReport;
+use fl_routing::belief::Beliefs;
+use fl_routing::estimate::Load;
+use fl_routing::policy::{Call, Candidate, policy_of};
+use fl_routing::rendezvous::name_hash;
+use fl_routing::sent::SentWork;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const RUNNERS: usize = 3;
+const CALLS: u128 = 24;
+
+#[rstest]
+#[case::counter(Priority::Counter, true)]
+#[case::deferrable(Priority::Deferrable, true)]
+#[case::deferrable_far(Priority::Deferrable, false)]
+fn idle_pool(#[case] priority: Priority, #[case] all_near: bool) {
+    let report = LoadReport { slots: 16, prefill_tokens_per_s: 8_000, ..LoadReport::default() };
+    let call = Call {
+        blocks: Vec::new(),
+        prompt_tokens: 4,
+        priority,
+        target_ms: 470,
+        deadline_ms: 60_000,
+    };
+    let mut policy = policy_of("prefix");
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut sent = SentWork::default();
+    let mut counts = [0; RUNNERS];
+    for id in 0..CALLS {
+        let candidates: Vec<Candidate> = (0..RUNNERS)
+            .map(|index| {
+                let name = format!("r{index}");
+                let correction = sent.correction(&name, Some(&report));
+                let load = Load::corrected(Some(&report), correction, sent.mean_stream_ms());
+                let near = all_near || index == 0;
+                Candidate {
+                    name_hash: name_hash(&name),
+                    name,
+                    load,
+                    near,
+                    price_millicents_per_h: 0,
+                }
+            })
+            .collect();
+        let choice = policy.choose(&call, &candidates, &Beliefs::default(), &mut random);
+        let index = choice.map_or(0, |choice| choice.index);
+        sent.sent(id, &candidates[index].name, 4, 1);
+        counts[index] += 1;
+    }
+    assert!(counts.iter().all(|count| *count >= 4), "{counts:?}");
+}
