--- /dev/null
+++ b/crates/fl-node/tests/lease.rs
@@ -0,0 +1,74 @@
+//! The lease at one node: lost answers and outages of the table service.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic as tests do")]
+
+use fl_config::Settings;
+use fl_kernel::Node;
+use fl_node::lease::{self, LeaseService};
+use fl_node::{ServiceContext, StartError};
+use fl_standins::{Outage, Table, TableFaults, TableHandle, TableOptions};
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const LIMIT: Duration = Duration::from_secs(40);
+
+async fn table() -> TableHandle {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Table::start(any, TableOptions::default()).await.unwrap()
+}
+
+fn start(table: &TableHandle) -> Result<Arc<LeaseService>, StartError> {
+    let (key, ip, address) = ("07".repeat(32), "127.0.0.1", table.address());
+    let text = format!(
+        "[node]\nvm = a1\ndata_center = dc-a\nregion = r\n[listen]\ncallers = {ip}:1\n\
+         peer = {ip}:2\ngossip = {ip}:3\nadmin = {ip}:9090\n[platform]\ntable = {address}\n\
+         objects = {ip}:5\nvm_list = {ip}:6\ncloud = {ip}:7\nweights = {ip}:8\n\
+         request_timeout_ms = 300\n[fleet]\nkey_hex = {key}\n"
+    );
+    let node = Node::new();
+    lease::start(&ServiceContext {
+        runtime: tokio::runtime::Handle::current(),
+        settings: Arc::new(Settings::read(&text).unwrap()),
+        registry: node.registry(),
+        accepting: node.accepting(),
+        cancel: node.cancel(),
+        tasks: node.tasks(),
+    })
+}
+
+async fn until(service: &LeaseService, holds: impl Fn(Option<u64>) -> bool) {
+    let begun = Instant::now();
+    while !holds(service.fencing()) {
+        assert!(begun.elapsed() < LIMIT, "fencing stayed {:?}", service.fencing());
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[rstest]
+#[case::first_answer(TableFaults { lose_answers: 1, ..TableFaults::default() })]
+#[case::all_answers(TableFaults { lose_all_answers: true, ..TableFaults::default() })]
+#[case::transactions(TableFaults { lose_transactions: 2, ..TableFaults::default() })]
+#[case::slow(TableFaults { slow_after_effect_ms: 600, ..TableFaults::default() })]
+#[tokio::test]
+async fn claim_found(#[case] faults: TableFaults) {
+    let table = table().await;
+    table.set_faults(faults);
+    let service = start(&table).unwrap();
+    until(&service, |fencing| fencing == Some(1)).await;
+}
+
+#[rstest]
+#[case::refused(Outage::Unavailable)]
+#[case::frozen(Outage::Frozen)]
+#[tokio::test]
+async fn lapses_in_outage(#[case] outage: Outage) {
+    let table = table().await;
+    let service = start(&table).unwrap();
+    until(&service, |fencing| fencing == Some(1)).await;
+    table.set_faults(TableFaults { outage, ..TableFaults::default() });
+    until(&service, |fencing| fencing.is_none()).await;
+    table.set_faults(TableFaults::default());
+    until(&service, |fencing| fencing == Some(2)).await;
+}
--- a/crates/fl-platform/src/configuration_store.rs
+++ b/crates/fl-platform/src/configuration_store.rs
@@ -5,9 +5,9 @@
 //! transaction that also keeps a row for the version. A push whose answer was lost finds that row
 //! by its nonce. See `docs/design/070-configuration.md`.
 
-use crate::http::{HttpClient, HttpError, Reuse};
+use crate::http::HttpError;
 use crate::objects::{ObjectClient, ObjectError};
-use crate::rows::{had_no_effect, read_row, transact};
+use crate::table::{TableClient, is_refusal};
 use bytes::Bytes;
 use displaydoc::Display;
 use fl_protocol::platform::{Condition, Put, Row, Transaction};
@@ -70,10 +70,8 @@
 /// Reads and moves the configuration in force.
 #[derive(Debug, Clone)]
 pub struct ConfigurationStore {
-    http: HttpClient,
-    table: SocketAddr,
+    table: TableClient,
     objects: ObjectClient,
-    timeout: Duration,
 }
 
 /// What became of one try to move the head.
@@ -92,8 +90,8 @@
 impl ConfigurationStore {
     /// Makes a client; `timeout` bounds each call to the platform.
     pub fn new(table: SocketAddr, objects: SocketAddr, timeout: Duration) -> Self {
-        let http = HttpClient::new(Reuse::Pooled);
-        ConfigurationStore { http, table, objects: ObjectClient::new(objects, timeout), timeout }
+        let table = TableClient::new(table, timeout);
+        ConfigurationStore { table, objects: ObjectClient::new(objects, timeout) }
     }
 
     /// Reads the head; version 0 until the first push.
@@ -188,10 +186,10 @@
     }
 
     async fn try_move(&self, transaction: &Transaction, head: &Head) -> Outcome {
-        match transact(&self.http, self.table, transaction, self.timeout).await {
+        match self.table.transact(transaction).await {
             Ok(answer) if answer.committed => Outcome::Accepted,
             Ok(_) => self.read_back(head).await,
-            Err(error) if had_no_effect(&error) => Outcome::NoEffect(error.to_string()),
+            Err(error) if is_refusal(&error) => Outcome::NoEffect(error.to_string()),
             Err(error) => Outcome::Unclear(error.to_string()),
         }
     }
@@ -210,7 +208,7 @@
     }
 
     async fn known_head(&self) -> Result<KnownHead, ReadError> {
-        let row = read_row(&self.http, self.table, TABLE, HEAD_KEY, self.timeout).await;
+        let row = self.table.read(TABLE, HEAD_KEY).await;
         match row.map_err(ReadError::Table)? {
             None => Ok(KnownHead { head: Head::default(), revision: 0 }),
             Some(row) => Ok(KnownHead { head: parse_head(&row)?, revision: row.revision }),
@@ -218,8 +216,7 @@
     }
 
     async fn version_row(&self, version: u64) -> Result<Option<Head>, ReadError> {
-        let key = version_key(version);
-        let row = read_row(&self.http, self.table, TABLE, &key, self.timeout).await;
+        let row = self.table.read(TABLE, &version_key(version)).await;
         row.map_err(ReadError::Table)?.as_ref().map(parse_head).transpose()
     }
 }
--- a/crates/fl-platform/src/lease_store.rs
+++ b/crates/fl-platform/src/lease_store.rs
@@ -1,7 +1,7 @@
 //! The rows of leases in the table service.
 
-use crate::http::{HttpClient, HttpError, Reuse};
-use crate::rows::{read_row, transact};
+use crate::http::HttpError;
+use crate::table::TableClient;
 use displaydoc::Display;
 use fl_protocol::platform::{Condition, Put, Row, Transaction};
 use serde::Serialize;
@@ -27,15 +27,13 @@
 /// Reads and writes lease rows; each call is one try.
 #[derive(Debug, Clone)]
 pub struct LeaseStore {
-    http: HttpClient,
-    table: SocketAddr,
-    timeout: Duration,
+    table: TableClient,
 }
 
 impl LeaseStore {
     /// Makes a client; `timeout` bounds each call.
     pub fn new(table: SocketAddr, timeout: Duration) -> Self {
-        LeaseStore { http: HttpClient::new(Reuse::Pooled), table, timeout }
+        LeaseStore { table: TableClient::new(table, timeout) }
     }
 
     /// Reads the row of a lease.
@@ -43,7 +41,7 @@
         &self,
         lease: &str,
     ) -> Result<FoundRow<T>, LeaseStoreError> {
-        let row = read_row(&self.http, self.table, TABLE, lease, self.timeout).await;
+        let row = self.table.read(TABLE, lease).await;
         row.map_err(LeaseStoreError::Table)?.as_ref().map(parse).transpose()
     }
 
@@ -61,7 +59,7 @@
         let condition = Condition { table: table.clone(), key: key.clone(), revision };
         let puts = vec![Put { table, key, value }];
         let transaction = Transaction { conditions: vec![condition], puts };
-        let answer = transact(&self.http, self.table, &transaction, self.timeout).await;
+        let answer = self.table.transact(&transaction).await;
         let rows = answer.map_err(LeaseStoreError::Table)?.rows;
         rows.first().map(parse).transpose()
     }
--- a/crates/fl-platform/src/rows.rs
+++ b/crates/fl-platform/src/rows.rs
@@ -34,14 +34,3 @@
     let uri = format!("http://{table_service}/v1/transactions");
     http.send_json(Method::POST, &uri, transaction, timeout).await
 }
-
-/// Says whether a failed transaction is certain to have had no effect.
-pub(crate) fn had_no_effect(error: &HttpError) -> bool {
-    const TOO_MANY_REQUESTS: u16 = 429;
-    const UNAVAILABLE: u16 = 503;
-    match error {
-        HttpError::NotConnected(_) => true,
-        HttpError::Status(_, status, _) => matches!(*status, TOO_MANY_REQUESTS | UNAVAILABLE),
-        _ => false,
-    }
-}
