--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -4,6 +4,7 @@
 //! `docs/design/010-packages.md`.
 
 pub mod admin;
+pub mod admission;
 pub mod configuration;
 pub mod context;
 pub mod directory;
@@ -12,6 +13,7 @@
 pub mod front;
 mod interim;
 pub mod lease;
+pub mod ledger;
 pub mod logging;
 pub mod membership;
 pub mod options;
--- a/crates/fl-node/src/run.rs
+++ b/crates/fl-node/src/run.rs
@@ -6,7 +6,8 @@
 use crate::readiness::{READINESS, Readiness};
 use crate::streams::{self, Streams};
 use crate::{
-    admin, configuration, directory, event_log, fleet, interim, lease, logging, membership, routing,
+    admin, admission, configuration, directory, event_log, fleet, interim, lease, ledger, logging,
+    membership, routing,
 };
 use fl_config::Settings;
 use fl_kernel::clock::unix_ms;
@@ -80,17 +81,20 @@
     admin::install_metrics(context)?;
     event_log::start(context)?;
     interim::start(context)?;
+    admission::start(context)?;
     membership::start(context).await?;
     configuration::start(context)?;
     directory::start(context)?;
     lease::start(context)?;
     fleet::start(context)?;
     routing::start(context)?;
+    ledger::start(context)?;
     let streams = streams::start(context)?;
     streams::start_peers(context, streams.clone())?;
     streams.watch()?;
     front::start(context, streams.clone(), readiness).await?;
     admin::start(context)?;
+    context.spawn(event_log::announce_ready(context.clone()));
     Ok(streams)
 }
 
@@ -133,6 +137,11 @@
         membership.leave();
     }
     streams.leave(departure.deadline).await;
-    tokio::time::sleep(LAST_WORDS).await;
+    ledger::drain(context, departure.deadline).await;
+    if let Ok(events) = context.registry.find::<dyn EventLog>(names::EVENT_LOG) {
+        events.record(EventKind::NodeStopped, None, departure.reason);
+    }
+    let handing_over = tokio::time::timeout(LAST_WORDS, event_log::hand_over(context));
+    let _ = tokio::join!(handing_over, tokio::time::sleep(LAST_WORDS));
     node.finish().await;
 }
--- a/crates/fl-protocol/src/call.rs
+++ b/crates/fl-protocol/src/call.rs
@@ -20,10 +20,14 @@
     pub body: Vec<u8>,
     /// The body's content type.
     pub content_type: String,
+    /// Whether the caller vouches that it sent the key never before.
+    ///
+    /// While the ledger cannot be read, *not run* is said only of such calls.
+    pub is_first_try: bool,
 }
 
 /// A plain service's answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ServiceAnswer {
     /// The HTTP status.
     pub status: u16,
