Prove that a new node without the platform learns who leaves

Cause: taking the peers' list was not shown.

Change: a node is started anew with the platform cut off; it becomes ready by its peers' list and sends no work to the runner that they know to leave.

--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -20,6 +20,14 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
+/// Routes in turn, so that every node would use the runner, also those of other data centres.
+fn options(list_lag_ms: u64) -> TestbedOptions {
+    let mut options = TestbedOptions::new(env!("CARGO_BIN_EXE_filbertlead"))
+        .setting("routing", "policy = round-robin");
+    options.cloud = CloudOptions { list_lag_ms, ..options.cloud };
+    options
+}
+
 async fn call_each_node(bed: &Testbed, round: &str) {
     for number in 0..CALLS_PER_NODE {
         for node in 0..bed.nodes.len() {
@@ -34,6 +42,12 @@
     }
 }
 
+/// Waits until the promise has to hold.
+async fn wait_bound() {
+    let begun = Instant::now();
+    until("the bound is over", async || begun.elapsed() >= BOUND).await;
+}
+
 fn notice(bed: &Testbed) {
     let leaving_at_ms = unix_ms() + STAYS_MS;
     bed.cloud.announce(ReclaimNotice { vm: LEAVING.to_string(), leaving_at_ms });
@@ -75,18 +89,31 @@
 #[case::peers_only(notice_to_one_data_center, LIST_LAG_MS)]
 #[tokio::test]
 async fn no_new_work(#[case] word: fn(&Testbed), #[case] list_lag_ms: u64) {
-    // In turn, so that every node would use the runner, also those of other data centres.
-    let mut options = TestbedOptions::new(env!("CARGO_BIN_EXE_filbertlead"))
-        .setting("routing", "policy = round-robin");
-    options.cloud = CloudOptions { list_lag_ms, ..options.cloud };
-    let bed = Testbed::start(options).await;
+    let bed = Testbed::start(options(list_lag_ms)).await;
     let leaving = &bed.engines[bed.engine_index(LEAVING)];
     call_each_node(&bed, "before").await;
     assert!(leaving.counters().started > 0, "the runner was never used");
 
     word(&bed);
-    let begun = Instant::now();
-    until("the bound is over", async || begun.elapsed() >= BOUND).await;
+    wait_bound().await;
+    let started_before = leaving.counters().started;
+    call_each_node(&bed, "after").await;
+    assert_eq!(leaving.counters().started, started_before, "new work went to {LEAVING}");
+}
+
+/// A node that starts while the platform is out takes the list of its peers, and their word.
+#[tokio::test]
+async fn new_node_without_platform() {
+    let mut bed = Testbed::start(options(LIST_LAG_MS)).await;
+    notice(&bed);
+    wait_bound().await;
+    let node = bed.nodes_in("dc-c")[0];
+    bed.nodes[node].kill();
+    cut_from_platform(&bed, &["dc-a", "dc-b", "dc-c"]);
+    bed.nodes[node].start();
+    bed.wait_ready(node).await;
+
+    let leaving = &bed.engines[bed.engine_index(LEAVING)];
     let started_before = leaving.counters().started;
     call_each_node(&bed, "after").await;
     assert_eq!(leaving.counters().started, started_before, "new work went to {LEAVING}");
