--- a/crates/fl-ctl/tests/pages.rs
+++ b/crates/fl-ctl/tests/pages.rs
@@ -156,6 +156,20 @@
     }
 }
 
+#[test]
+fn metrics_listed() {
+    let page = read("docs/OPERATING.md");
+    let sources = files(&root().join("crates"), "rs").into_iter();
+    let product = sources.filter(|path| path.components().any(|part| part.as_os_str() == "src"));
+    let text: String = product.map(|path| fs::read_to_string(path).unwrap()).collect();
+    let names = ["counter!(", "gauge!(", "histogram!("]
+        .into_iter()
+        .flat_map(|call| text.split(call).skip(1))
+        .filter_map(|rest| rest.trim_start().strip_prefix('"')?.split('"').next());
+    let missing: Vec<&str> = names.filter(|name| !page.contains(&format!("`{name}`"))).collect();
+    assert!(missing.is_empty(), "docs/OPERATING.md lacks the metrics {missing:?}");
+}
+
 #[test]
 fn event_kinds() {
     let text = read("crates/fl-protocol/src/event.rs");
