--- /dev/null
+++ b/crates/fl-ctl/tests/push.rs
@@ -0,0 +1,84 @@
+//! `filbertctl push`: accepted, refused with the winner's name, and never with a faulty file.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic as tests do")]
+
+use fl_ctl::commands::push::{Arguments, run};
+use fl_ctl::error::CommandError;
+use fl_platform::ConfigurationStore;
+use fl_standins::{Objects, ObjectsHandle, Table, TableHandle, TableOptions};
+use gumdrop::Options;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+struct Platform {
+    table: TableHandle,
+    objects: ObjectsHandle,
+    directory: PathBuf,
+}
+
+impl Platform {
+    async fn start() -> Platform {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let table = Table::start(any, TableOptions::default()).await.unwrap();
+        let name = format!("filbert-push-{:016x}", rand::random::<u64>());
+        let directory = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&directory).unwrap();
+        Platform { table, objects: Objects::start(any).await.unwrap(), directory }
+    }
+
+    async fn push(&self, text: &str, more: &[&str]) -> Result<(), CommandError> {
+        let path = self.directory.join("fleet.ini");
+        std::fs::write(&path, text).unwrap();
+        let (table, objects) = (self.table.address(), self.objects.address());
+        let places = [format!("--table={table}"), format!("--objects={objects}")];
+        let mut words = vec![path.to_str().unwrap(), &places[0], &places[1]];
+        words.extend(more);
+        run(&Arguments::parse_args_default(&words).unwrap()).await
+    }
+
+    async fn version(&self) -> u64 {
+        let timeout = Duration::from_secs(5);
+        let store = ConfigurationStore::new(self.table.address(), self.objects.address(), timeout);
+        store.head().await.unwrap().version
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+fn built_on(operator: &str, parent_version: u64) -> String {
+    format!("[configuration]\noperator = {operator}\nparent_version = {parent_version}\n")
+}
+
+#[tokio::test]
+async fn second_operator_told() {
+    let platform = Platform::start().await;
+    platform.push(&built_on("ana", 0), &[]).await.unwrap();
+    let refusal = platform.push(&built_on("boris", 0), &[]).await.unwrap_err();
+    let text = refusal.to_string();
+    assert!(matches!(refusal, CommandError::NotAccepted(_)), "{text}");
+    assert!(text.contains("version 1 by ana") && text.contains("parent_version = 1"), "{text}");
+    platform.push(&built_on("boris", 1), &[]).await.unwrap();
+    assert_eq!(platform.version().await, 2);
+}
+
+#[tokio::test]
+async fn faulty_file_kept_out() {
+    let platform = Platform::start().await;
+    let faulty = "[configuration]\noperator = ana\n[workspace desk]\nweight = -1\ncolour = red\n";
+    let refusal = platform.push(faulty, &[]).await.unwrap_err();
+    assert!(matches!(refusal, CommandError::Faulty { .. }), "{refusal}");
+    assert_eq!(platform.version().await, 0);
+}
+
+#[tokio::test]
+async fn wait_needs_node() {
+    let platform = Platform::start().await;
+    let refusal = platform.push(&built_on("ana", 0), &["--wait"]).await.unwrap_err();
+    assert!(matches!(refusal, CommandError::Usage(_)), "{refusal}");
+    assert_eq!(platform.version().await, 0);
+}
--- a/crates/fl-membership/examples/slope.rs
+++ b/crates/fl-membership/examples/slope.rs
@@ -2,7 +2,7 @@
 //! virtual clock.
 //!
 //! ```text
-//! cargo run --release -p fl-membership --example slope
+//! cargo run --release -p fl-membership --example slope [NODES [with-riders | without-riders]]
 //! ```
 
 #[path = "../tests/common/exchange.rs"]
@@ -15,7 +15,7 @@
 
 const SETTLE: Duration = Duration::from_secs(120);
 /// By then the news of the start has been sent often enough.
-const QUIET: Duration = Duration::from_secs(30);
+const QUIET: Duration = Duration::from_secs(120);
 const SPAN: Duration = Duration::from_secs(60);
 const RIDER_INTERVAL: Duration = Duration::from_secs(5);
 const RIDER_BYTES: usize = 64;
@@ -24,9 +24,13 @@
 fn main() {
     println!("| nodes | data centres | riders | mean B/s | max B/s | death known to all, ms |");
     println!("|---|---|---|---|---|---|");
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let chosen = |nodes: usize| arguments.first().is_none_or(|only| *only == nodes.to_string());
     for (nodes, data_centers) in SIZES {
-        for riders in [false, true] {
-            measure(nodes, data_centers, riders);
+        for (name, riders) in [("without-riders", false), ("with-riders", true)] {
+            if chosen(nodes) && arguments.get(1).is_none_or(|only| only == name) {
+                measure(nodes, data_centers, riders);
+            }
         }
     }
 }
--- a/crates/fl-membership/src/state/tick.rs
+++ b/crates/fl-membership/src/state/tick.rs
@@ -20,6 +20,9 @@
 const JOIN_SEEDS: usize = 3;
 /// Nodes of one data centre that probe another in one heartbeat, on average.
 const CROSS_PROBES: f64 = 2.0;
+/// Suspicion timeouts without word of a data centre after which each node probes it for itself;
+/// word from others takes a few heartbeats to come around.
+const OVERDUE_SUSPICIONS: u32 = 2;
 /// A node that hears from nobody waits so many suspicion timeouts before it calls a peer dead,
 /// since the fault is then most likely its own.
 const ISOLATED_SUSPICIONS: u32 = 5;
@@ -117,7 +120,7 @@
         let near_count = self.near_members().len() + 1;
         let share = (CROSS_PROBES / near_count as f64).min(1.0);
         let heartbeat = self.config.heartbeat;
-        let overdue_after = self.config.suspicion;
+        let overdue_after = self.config.suspicion * OVERDUE_SUSPICIONS;
         let mut due: Vec<DataCenterName> = Vec::new();
         for contact in self.contacts.all() {
             let age = now.saturating_sub(contact.heard_at);
