Measure what control costs an idle node

Cause: the limits are 1% of a core, 256 MB and 4 KB/s a node, and nothing measured them over processes.

--- a/crates/fl-testbed/src/bed.rs
+++ b/crates/fl-testbed/src/bed.rs
@@ -1,6 +1,6 @@
 //! A whole system on one machine: stand-ins, nodes and the network between them.
 
-use crate::network::Network;
+use crate::network::{Network, Target};
 use crate::node::NodeProcess;
 use fl_protocol::event::{Event, EventKind};
 use fl_protocol::platform::{Vm, VmKind};
@@ -28,6 +28,7 @@
 const RELAYED_PEER_PORT: u16 = 7100;
 const RELAYED_GOSSIP_PORT: u16 = 7101;
 const SERVICE_PORT: u16 = 8000;
+const RELAYED_SERVICE_PORT: u16 = 8100;
 const FIRST_RUNNER: u8 = 60;
 const FIRST_APPLICATION: u8 = 120;
 const PLATFORM_HOST: u8 = 200;
@@ -56,6 +57,8 @@
     pub settings: Vec<(String, String)>,
     /// The configuration pushed at the start; `None` leaves that to the test.
     pub configuration: Option<Configuration>,
+    /// Whether traffic to backend servers passes relays, which count it.
+    pub relay_backends: bool,
     /// Whether the start waits until every node is ready.
     pub wait_ready: bool,
 }
@@ -74,6 +77,7 @@
             table: TableOptions::default(),
             settings: Vec::new(),
             configuration: Some(default_configuration()),
+            relay_backends: false,
             wait_ready: true,
         }
     }
@@ -249,6 +253,7 @@
             let engine = EngineOptions { vm: vm.clone(), ..options.engine.clone() };
             self.engines.push(Engine::start(address, engine).await.unwrap());
             let place = data_center(index % options.data_centers);
+            let address = self.relayed(address, &place, options).await;
             vms.push(backend(vm, VmKind::Runner, "runners", place, address));
         }
         for index in 0..options.applications {
@@ -258,6 +263,7 @@
             let service = PlainServiceOptions { vm: vm.clone(), ..PlainServiceOptions::default() };
             self.applications.push(ServiceStandIn::start(address, service).await.unwrap());
             let place = data_center(index % options.data_centers);
+            let address = self.relayed(address, &place, options).await;
             vms.push(backend(vm, VmKind::Application, "bookings", place, address));
         }
         for index in 0..options.nodes {
@@ -268,6 +274,21 @@
         vms
     }
 
+    /// The address under which nodes find a backend server.
+    async fn relayed(
+        &self,
+        address: SocketAddr,
+        place: &str,
+        options: &TestbedOptions,
+    ) -> SocketAddr {
+        if !options.relay_backends {
+            return address;
+        }
+        let relay = SocketAddr::new(address.ip(), RELAYED_SERVICE_PORT);
+        self.network.relay_tcp(relay, address, place, Target::Backend).await;
+        relay
+    }
+
     async fn describe_nodes(&mut self, base: [u8; 3], options: &TestbedOptions) {
         let seed = SocketAddr::new(host(base, 1), RELAYED_GOSSIP_PORT);
         for index in 0..options.nodes {
@@ -276,7 +297,9 @@
             let relay_host = FIRST_PLATFORM_RELAY + (index % options.data_centers) as u8;
             let at = |port| SocketAddr::new(ip, port);
             self.network.place(ip, &place);
-            self.network.relay_tcp(at(RELAYED_PEER_PORT), at(PEER_PORT), &place).await;
+            self.network
+                .relay_tcp(at(RELAYED_PEER_PORT), at(PEER_PORT), &place, Target::Peer)
+                .await;
             self.network.relay_udp(at(RELAYED_GOSSIP_PORT), at(GOSSIP_PORT), &place).await;
             let vm = format!("entry-{index}");
             let settings = settings(&vm, &place, ip, host(base, relay_host), seed, options);
