Let a stand-in finish a request whose caller has gone away

Cause: the HTTP library drops the handler of a request when its connection ends. A booking or transaction that was delayed before its effect was so undone by the death of the node that had sent it, which real services do not do, and proofs of calls that run at most once were too easy.

Each request is now answered in a task of its own until the stand-in ends.

--- a/crates/fl-standins/src/host.rs
+++ b/crates/fl-standins/src/host.rs
@@ -1,6 +1,6 @@
 //! Accepts connections for a stand-in and ends or silences them on demand.
 
-use crate::http_parts::Reply;
+use crate::http_parts::{Closed, Reply};
 use crate::silence::SilenceableStream;
 use futures::future::BoxFuture;
 use http::Request;
@@ -139,30 +139,52 @@
         };
         match accepted {
             Ok((socket, _)) => {
-                let connection =
-                    serve_connection(socket, service.clone(), connections.clone(), cancel.clone());
-                tasks.spawn(connection);
+                let answering = Answering {
+                    service: service.clone(),
+                    cancel: cancel.clone(),
+                    tasks: tasks.clone(),
+                };
+                tasks.spawn(serve_connection(socket, answering, connections.clone()));
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
         }
     }
 }
 
+/// Answers the requests of one connection.
+struct Answering<A> {
+    service: Arc<A>,
+    cancel: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl<A: Answers> Answering<A> {
+    /// Answers in a task of its own: a request that arrived takes its effect also when its caller
+    /// has gone away.
+    async fn answer(&self, request: Request<Incoming>, connection: ConnectionNumber) -> Reply {
+        let answer = self.service.clone().answer(request, connection);
+        let answer = self.cancel.clone().run_until_cancelled_owned(answer);
+        match self.tasks.spawn(answer).await {
+            Ok(Some(reply)) => reply,
+            Ok(None) | Err(_) => Err(Closed),
+        }
+    }
+}
+
 async fn serve_connection(
     socket: TcpStream,
-    service: Arc<impl Answers>,
+    answering: Answering<impl Answers>,
     connections: Arc<Connections>,
-    cancel: CancellationToken,
 ) {
     // Tokens are small writes that the caller waits for.
     let _ = socket.set_nodelay(true);
     let (number, silent) = connections.add();
     let io = TokioIo::new(SilenceableStream::new(socket, silent));
-    let answer = service_fn(move |request| service.clone().answer(request, number));
+    let answer = service_fn(|request| answering.answer(request, number));
     let connection = http1::Builder::new().serve_connection(io, answer);
     tokio::select! {
         _ = connection => {}
-        () = cancel.cancelled() => {}
+        () = answering.cancel.cancelled() => {}
     }
     connections.remove(number);
 }
--- a/crates/fl-standins/tests/platform.rs
+++ b/crates/fl-standins/tests/platform.rs
@@ -6,11 +6,13 @@
 #[allow(dead_code, reason = "each test file uses its part of the client")]
 mod client;
 
+use bytes::Bytes;
 use client::*;
 use fl_protocol::platform::*;
 use fl_standins::*;
 use http::StatusCode;
 use rstest::rstest;
+use std::time::Duration;
 
 fn put(key: &str, revision: u64) -> Transaction {
     let (table, key) = ("claims".to_string(), key.to_string());
@@ -96,6 +98,32 @@
     assert_eq!(service.runs_of("k"), runs);
 }
 
+/// Gives a call up after a while, as a caller that was killed does.
+async fn give_up(exchange: impl Future<Output = Result<(StatusCode, Bytes), String>>) {
+    assert!(tokio::time::timeout(Duration::from_millis(100), exchange).await.is_err());
+}
+
+#[tokio::test]
+async fn booked_for_nobody() {
+    let options = PlainServiceOptions::default();
+    let service = PlainService::start(fresh_address(), options).await.unwrap();
+    let faults = PlainServiceFaults { delay_before_effect_ms: 300, ..Default::default() };
+    service.set_faults(faults);
+    let headers = [("idempotency-key", "k")];
+    give_up(call(service.address(), "POST", "/bookings", &headers, Vec::new())).await;
+    assert_eq!(service.runs_of("k"), 0);
+    eventually(|| async { service.runs_of("k") == 1 }).await;
+}
+
+#[tokio::test]
+async fn written_for_nobody() {
+    let table = table().await;
+    table.set_faults(TableFaults { slow_ms: 300, ..TableFaults::default() });
+    let body = serde_json::to_vec(&put("a", 0)).unwrap();
+    give_up(call(table.address(), "POST", "/v1/transactions", &[], body)).await;
+    eventually(|| async { table.rows("claims").len() == 1 }).await;
+}
+
 #[tokio::test]
 async fn object_kept() {
     let objects = Objects::start(fresh_address()).await.unwrap();
