--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -7,7 +7,9 @@
 import json
 import pathlib
 import random
+import signal
 import subprocess
+import sys
 import time
 
 CALLERS_PORT = 8080
@@ -73,6 +75,9 @@
         })
 
     def __enter__(self):
+        # A script that is told to end still ends what it started.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: sys.exit("told to end"))
         try:
             self._start()
         except BaseException:
