--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -1,4 +1,4 @@
-//! Membership among processes: death, pause, cut, leave and strangers.
+//! Membership among processes: death, cut, leave and noise.
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests may panic as tests do")]
 
@@ -88,7 +88,7 @@
 }
 
 #[tokio::test]
-async fn strangers_refused() {
+async fn noise_refused() {
     let bed = Testbed::start(options()).await;
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
     let node = &bed.nodes[0];
