Keep a heartbeat from being dropped when too much rides on it

Cause: while the digests of two tables differed, half of a datagram's room went to parts of the table and the riders could still take all of it. A datagram above 1,200 bytes is refused by the codec, so the heartbeat was never sent, and its target was suspected for not answering.

Change: parts of the table and riders share one room.

--- a/crates/fl-membership/src/state/compose.rs
+++ b/crates/fl-membership/src/state/compose.rs
@@ -29,7 +29,7 @@
         let allowed = self.budget.left_bytes().saturating_sub(base_bytes + HEADER_BYTES);
         room = room.min(allowed);
         if self.digests_differ {
-            self.add_table_part(&mut datagram, room / 2);
+            self.add_table_part(&mut datagram, &mut room);
         }
         self.add_riders(near, &mut datagram, &mut room);
         self.seal(to, &datagram)
@@ -88,24 +88,26 @@
         }
     }
 
-    fn add_table_part(&mut self, datagram: &mut Datagram, room: usize) {
-        let mut room = room;
+    /// Adds the next entries of the table, in at most half of the room, so that riders still move
+    /// while two tables differ.
+    fn add_table_part(&mut self, datagram: &mut Datagram, room: &mut usize) {
+        let part_bytes = *room / 2;
+        let mut part_room = part_bytes;
         let entries = self.table.entries();
         for _ in 0..entries.len() {
-            let Some(entry) = entries.get(self.sync_cursor % entries.len()) else { return };
+            let Some(entry) = entries.get(self.sync_cursor % entries.len()) else { break };
             if entry.member.state != MemberState::Dead {
-                if !take_room(&entry.member, &mut room) {
-                    return;
+                if !take_room(&entry.member, &mut part_room) {
+                    break;
                 }
                 datagram.updates.push(entry.member.clone());
             }
             self.sync_cursor = (self.sync_cursor + 1) % entries.len();
         }
+        *room -= part_bytes - part_room;
     }
 
     fn add_riders(&mut self, near: bool, datagram: &mut Datagram, room: &mut usize) {
-        let updates_bytes = datagram.updates.iter().map(encoded_bytes).sum::<usize>();
-        *room = (*room).min(MAX_DATAGRAM_BYTES.saturating_sub(updates_bytes));
         if !near {
             self.add_own_rider(datagram, room);
             return;
--- /dev/null
+++ b/crates/fl-membership/tests/full_datagram.rs
@@ -0,0 +1,49 @@
+//! A heartbeat is sent however much would like to ride on it.
+
+#[path = "common/exchange.rs"]
+#[allow(dead_code, reason = "only the members of the loop are used here")]
+mod exchange;
+
+use exchange::{HEARTBEAT, SUSPICION, member};
+use fl_membership::codec::{Body, Datagram, MAX_RIDER_BYTES, Rider, encode};
+use fl_membership::{MAX_DATAGRAM_BYTES, MembershipConfig, MembershipState};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+const KEY: [u8; 32] = [7; 32];
+const PEERS: usize = 42;
+
+/// A peer's word of itself, with a digest that no table has.
+fn word_of(index: usize) -> Datagram {
+    let from = member(index, 1, 1000);
+    let rider = Rider { vm: from.vm.clone(), version: 1, payload: vec![1; MAX_RIDER_BYTES] };
+    Datagram {
+        body: Body::Table { from },
+        configuration_version: 1,
+        table_digest: 1,
+        contacts: Vec::new(),
+        updates: Vec::new(),
+        riders: vec![rider],
+    }
+}
+
+#[test]
+fn heartbeat_always_sent() {
+    let mut config = MembershipConfig::new(KEY, HEARTBEAT, SUSPICION, Vec::new());
+    config.send_budget_bytes_per_s = 1_000_000;
+    let random = Box::new(ChaCha8Rng::seed_from_u64(1));
+    let mut state = MembershipState::new(config, member(0, 1, 1000), random, Duration::ZERO);
+    for index in 1..PEERS {
+        let bytes = encode(&KEY, &word_of(index)).unwrap();
+        state.on_datagram(Duration::ZERO, &bytes).unwrap();
+    }
+    for beat in 0..200u32 {
+        let now = HEARTBEAT * beat + Duration::from_millis(1);
+        let bytes = encode(&KEY, &word_of(1 + beat as usize % (PEERS - 1))).unwrap();
+        state.on_datagram(now, &bytes).unwrap();
+        let outgoing = state.on_tick(now);
+        assert!(!outgoing.is_empty(), "no heartbeat at beat {beat}");
+        assert!(outgoing.iter().all(|sent| sent.bytes.len() <= MAX_DATAGRAM_BYTES));
+    }
+}
