Read the VM list only when it changed, and poll as much as is used

Cause: an idle node spent 6.6 times its bytes and 1.3 times its processor time on polling: the load, models and cache events of all 12 runners twice a second and the whole VM list once a second. Tried and reverted: reading the list every 5 s; no_new_work::case_3_list, where the list is the only source, then failed its 3 s. Change: the list is read with If-None-Match; a node that served no model call for 10 s reads only the runners it watches, once a second, and tells peers what it learns; models are read every 5 s, or 30 s when idle; cache events only in use.

--- a/crates/fl-kernel/src/services.rs
+++ b/crates/fl-kernel/src/services.rs
@@ -61,6 +61,10 @@
     fn mark_leaving(&self, vm: &VmName, leaving_at_ms: UnixMs);
     /// Takes word of a failed or succeeded contact with a VM.
     fn mark_contact(&self, vm: &VmName, ok: bool);
+    /// Takes word that this node serves model calls, so that it needs fresh reports.
+    fn note_call(&self);
+    /// Says whether this node served a model call lately.
+    fn in_use(&self) -> bool;
     /// Wakes on each change.
     fn subscribe(&self) -> watch::Receiver<u64>;
 }
--- a/crates/fl-node/src/directory.rs
+++ b/crates/fl-node/src/directory.rs
@@ -18,8 +18,11 @@
 use fl_routing::servers::{Server, ServerTable};
 use parking_lot::Mutex;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::{mpsc, watch};
 
+/// How long after a model call a node keeps reading all reports, in milliseconds.
+const IN_USE_MS: u64 = 10_000;
 /// News that wait to be told; beyond this peers learn from their own polls.
 const NEWS_LIMIT: usize = 1_024;
 
@@ -29,6 +32,7 @@
     table: Mutex<ServerTable>,
     changes: watch::Sender<u64>,
     news: mpsc::Sender<ReclaimNotice>,
+    last_call_ms: AtomicU64,
 }
 
 /// Starts the directory: it polls until the node ends.
@@ -39,6 +43,7 @@
         table: Mutex::new(ServerTable::default()),
         changes: watch::Sender::new(0),
         news,
+        last_call_ms: AtomicU64::new(0),
     });
     let service: Arc<dyn Directory> = directory.clone();
     context.registry.register(names::DIRECTORY, service)?;
@@ -111,6 +116,15 @@
         }
     }
 
+    fn note_call(&self) {
+        self.last_call_ms.store(unix_ms(), Ordering::Relaxed);
+    }
+
+    fn in_use(&self) -> bool {
+        let last_call_ms = self.last_call_ms.load(Ordering::Relaxed);
+        unix_ms().saturating_sub(last_call_ms) < IN_USE_MS
+    }
+
     fn subscribe(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
     }
--- a/crates/fl-node/src/directory/polling.rs
+++ b/crates/fl-node/src/directory/polling.rs
@@ -18,6 +18,9 @@
 const NOTICES_POLL_LIMIT: Duration = Duration::from_millis(1_000);
 /// The longest wait for one reading of notices or a report, for the same reason.
 const READING_TIMEOUT_LIMIT: Duration = Duration::from_millis(1_000);
+/// Time between two reports of a runner while this node serves no calls; with the telling of peers
+/// it keeps new work off a leaving runner within three seconds of its report.
+const IDLE_POLL: Duration = Duration::from_millis(1_000);
 /// Time between two looks at which runners are to be watched.
 const WATCH_REVIEW: Duration = Duration::from_millis(250);
 
@@ -45,14 +48,19 @@
 async fn poll_list(directory: Arc<NodeDirectory>) {
     let client = platform_client(&directory);
     let mut reachable = true;
+    let mut known = None;
     loop {
-        let reading = client.vms().await;
+        let reading = client.vms(known.as_ref()).await;
         if reading.is_ok() != reachable {
             reachable = reading.is_ok();
             record_platform(&directory, reachable);
         }
         match reading {
-            Ok(vms) => directory.take_list(vms),
+            Ok(Some((vms, tag))) => {
+                known = tag;
+                directory.take_list(vms);
+            }
+            Ok(None) => {}
             Err(_) if directory.table.lock().vms().is_empty() => ask_peers(&directory).await,
             Err(_) => {}
         }
@@ -124,7 +132,8 @@
     let Some(membership) = directory.membership() else {
         return vms;
     };
-    let names = watched_runners(&membership.self_member(), &membership.members(), &vms);
+    let (own, members) = (membership.self_member(), membership.members());
+    let names = watched_runners(&own, &members, &vms, directory.in_use());
     vms.retain(|vm| names.binary_search(&vm.name).is_ok());
     vms
 }
@@ -138,7 +147,9 @@
         if let Ok(report) = reading {
             directory.take_report(&vm.name, report);
         }
-        tokio::time::sleep(settings.routing.load_poll).await;
+        let idle_pause = settings.routing.load_poll.max(IDLE_POLL);
+        let pause = if directory.in_use() { settings.routing.load_poll } else { idle_pause };
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/crates/fl-node/src/routing.rs
+++ b/crates/fl-node/src/routing.rs
@@ -10,7 +10,7 @@
 use fl_kernel::names;
 use fl_kernel::services::{Backend, Directory, Route, RouteQuery, Router};
 use fl_protocol::platform::VmKind;
-use fl_protocol::{ModelName, Problem, RequestId, VmName};
+use fl_protocol::{ModelName, Problem, RequestId, UnixMs, VmName};
 use fl_routing::belief::Beliefs;
 use fl_routing::estimate::{Load, duration_ms};
 use fl_routing::policy::{Call, Candidate, Choice, Policy, policy_of};
@@ -25,6 +25,11 @@
 /// When to come back if no runner can take the call.
 const NO_BACKEND_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time between two readings of what a runner holds, in milliseconds; orders change it rarely.
+const MODELS_PAUSE_MS: u64 = 5_000;
+/// The same while this node serves no calls.
+const IDLE_MODELS_PAUSE_MS: u64 = 30_000;
+
 /// The router of one node.
 pub struct NodeRouter {
     context: ServiceContext,
@@ -36,8 +41,15 @@
     random: StdRng,
     beliefs: Beliefs,
     sent: SentWork,
-    /// Models by runner, sorted by runner.
-    models: Vec<(VmName, Vec<ModelName>)>,
+    /// What runners hold, sorted by runner.
+    models: Vec<HeldModels>,
+}
+
+/// The models that a runner held when it was asked last.
+struct HeldModels {
+    runner: VmName,
+    models: Vec<ModelName>,
+    read_at_ms: UnixMs,
 }
 
 /// Starts the router and the reading of cache events.
@@ -63,12 +75,28 @@
     }
 
     fn take_models(&self, runner: &VmName, models: Vec<ModelName>) {
+        let held = HeldModels { runner: runner.clone(), models, read_at_ms: unix_ms() };
         let mut state = self.state.lock();
-        match state.models.binary_search_by(|(name, _)| name.cmp(runner)) {
-            Ok(index) => state.models[index].1 = models,
-            Err(index) => state.models.insert(index, (runner.clone(), models)),
+        match state.find_models(runner) {
+            Ok(index) => state.models[index] = held,
+            Err(index) => state.models.insert(index, held),
         }
     }
+
+    /// Says whether a runner's models were not read for a while.
+    fn wants_models(&self, runner: &VmName) -> bool {
+        let pause_ms = if self.in_use() { MODELS_PAUSE_MS } else { IDLE_MODELS_PAUSE_MS };
+        let state = self.state.lock();
+        let read_at_ms =
+            state.find_models(runner).map_or(0, |index| state.models[index].read_at_ms);
+        unix_ms().saturating_sub(read_at_ms) >= pause_ms
+    }
+
+    /// Says whether this node serves model calls, which need fresh reports.
+    fn in_use(&self) -> bool {
+        let directory = self.context.registry.find::<dyn Directory>(names::DIRECTORY);
+        directory.is_ok_and(|directory| directory.in_use())
+    }
 }
 
 impl Router for NodeRouter {
@@ -117,12 +145,16 @@
         runners
     }
 
+    fn find_models(&self, runner: &VmName) -> Result<usize, usize> {
+        self.models.binary_search_by(|held| held.runner.cmp(runner))
+    }
+
     /// Says whether a runner may hold a model; one whose models are not known yet may.
     fn may_hold(&self, runner: &VmName, model: &str) -> bool {
-        let Ok(index) = self.models.binary_search_by(|(name, _)| name.cmp(runner)) else {
+        let Ok(index) = self.find_models(runner) else {
             return true;
         };
-        let models = &self.models[index].1;
+        let models = &self.models[index].models;
         models.binary_search_by(|held| held.as_str().cmp(model)).is_ok()
     }
 
--- a/crates/fl-node/src/routing/cache_feed.rs
+++ b/crates/fl-node/src/routing/cache_feed.rs
@@ -40,9 +40,14 @@
 
 async fn read_runner(router: &NodeRouter, reports: &EngineReports, runner: Backend) {
     let name = &runner.vm.name;
-    if let Ok(state) = reports.state(&runner.vm.address).await {
+    if router.wants_models(name)
+        && let Ok(state) = reports.state(&runner.vm.address).await
+    {
         router.take_models(name, state.models);
     }
+    if !router.in_use() {
+        return;
+    }
     let (after, resync) = {
         let mut state = router.state.lock();
         let belief = state.beliefs.of_mut(name);
@@ -65,6 +70,6 @@
             runners.binary_search_by(|runner| runner.vm.name.as_str().cmp(name)).is_ok()
         };
         self.beliefs.keep(listed);
-        self.models.retain(|(name, _)| listed(name));
+        self.models.retain(|held| listed(&held.runner));
     }
 }
--- a/crates/fl-node/src/streams.rs
+++ b/crates/fl-node/src/streams.rs
@@ -146,6 +146,7 @@
         call: AdmittedCall,
     ) -> Result<Arc<OwnedRequest>, Problem> {
         let links = self.links().map_err(internal)?;
+        links.directory.note_call();
         let record = self.new_record(&call);
         let cancel = self.context.cancel.child_token();
         let request = OwnedRequest::new(record, call.chat, Vec::new(), cancel, Some(call.permit));
--- a/crates/fl-platform/src/http.rs
+++ b/crates/fl-platform/src/http.rs
@@ -157,7 +157,8 @@
         .map_err(|error| HttpError::Unreadable(uri.to_string(), error.to_string()))
 }
 
-fn read_json<T: DeserializeOwned>(uri: &str, reply: Reply) -> Result<T, HttpError> {
+/// Reads a whole answer as JSON; any status but 200 is an error.
+pub(crate) fn read_json<T: DeserializeOwned>(uri: &str, reply: Reply) -> Result<T, HttpError> {
     if reply.status != StatusCode::OK {
         let text = String::from_utf8_lossy(&reply.body).into_owned();
         return Err(HttpError::Status(uri.to_string(), reply.status.as_u16(), text));
--- a/crates/fl-platform/src/vm_list.rs
+++ b/crates/fl-platform/src/vm_list.rs
@@ -1,7 +1,10 @@
 //! Reads the lagging VM list and the cloud's reclaim notices.
 
-use crate::http::{HttpClient, HttpError, Reuse};
+use crate::http::{HttpClient, HttpError, Reuse, build};
+use bytes::Bytes;
 use fl_protocol::platform::{Price, ReclaimNotice, Vm};
+use http::header::{ETAG, IF_NONE_MATCH};
+use http::{HeaderValue, Method, StatusCode};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -20,9 +23,25 @@
         VmListClient { http: HttpClient::new(Reuse::Pooled), vm_list, cloud, timeout }
     }
 
-    /// Reads the list of VMs, which lags.
-    pub async fn vms(&self) -> Result<Vec<Vm>, HttpError> {
-        self.http.get_json(&format!("http://{}/v1/vms", self.vm_list), self.timeout).await
+    /// Reads the list of VMs, which lags; `None` when it is still the one that `known` names.
+    ///
+    /// At the size of `docs/CAPACITY.md` the list has 230 KB and changes a few hundred times a day, so
+    /// it must not travel with each reading.
+    pub async fn vms(
+        &self,
+        known: Option<&HeaderValue>,
+    ) -> Result<Option<(Vec<Vm>, Option<HeaderValue>)>, HttpError> {
+        let uri = format!("http://{}/v1/vms", self.vm_list);
+        let mut request = build(Method::GET, &uri, Bytes::new())?;
+        if let Some(tag) = known {
+            request.headers_mut().insert(IF_NONE_MATCH, tag.clone());
+        }
+        let reply = self.http.fetch(request, self.timeout).await?;
+        if reply.status == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        let tag = reply.headers.get(ETAG).cloned();
+        Ok(Some((crate::http::read_json(&uri, reply)?, tag)))
     }
 
     /// Reads the reclaim notices in force.
--- a/crates/fl-protocol/src/platform.rs
+++ b/crates/fl-protocol/src/platform.rs
@@ -6,7 +6,8 @@
 //!
 //! Object store: `PUT /v1/objects/{name}`, `GET /v1/objects/{name}`; a name may be written again.
 //!
-//! VM list: `GET /v1/vms` answers `Vec<Vm>`, which lags.
+//! VM list: `GET /v1/vms` answers `Vec<Vm>`, which lags, with an `ETag`; 304 to a reader whose
+//! `If-None-Match` names the list as it still is.
 //!
 //! Cloud: `GET /v1/prices` answers `Vec<Price>`; `GET /v1/notices` answers `Vec<ReclaimNotice>`;
 //! `POST /v1/vms` with [`StartVm`] answers [`Vm`], or 409 when there is no capacity.
--- a/crates/fl-routing/src/watch.rs
+++ b/crates/fl-routing/src/watch.rs
@@ -6,7 +6,7 @@
 use fl_protocol::platform::{Vm, VmKind};
 use fl_protocol::{Member, VmName};
 
-/// Up to this many runners every node watches all of them.
+/// Up to this many runners a node that serves calls watches all of them.
 pub const WATCH_ALL_RUNNERS: usize = 32;
 /// Nodes of a data centre that watch the same runner in a larger fleet.
 pub const WATCHERS_PER_RUNNER: usize = 2;
@@ -14,9 +14,12 @@
 pub const TOLD_IN_OWN_DATA_CENTER: usize = 4;
 
 /// Chooses the runners whose reports this node reads, sorted by name.
-pub fn watched_runners(own: &Member, members: &[Member], vms: &[Vm]) -> Vec<VmName> {
+///
+/// An idle node reads only those it is a watcher of, to learn that they are leaving and to tell its
+/// peers; reports of all others would be paid for and never used.
+pub fn watched_runners(own: &Member, members: &[Member], vms: &[Vm], in_use: bool) -> Vec<VmName> {
     let runners = vms.iter().filter(|vm| vm.kind == VmKind::Runner);
-    let mut names: Vec<VmName> = if runners.clone().count() <= WATCH_ALL_RUNNERS {
+    let mut names: Vec<VmName> = if in_use && runners.clone().count() <= WATCH_ALL_RUNNERS {
         runners.map(|vm| vm.name.clone()).collect()
     } else {
         let near = runners.filter(|vm| vm.data_center == own.data_center);
--- a/crates/fl-standins/src/cloud.rs
+++ b/crates/fl-standins/src/cloud.rs
@@ -142,7 +142,10 @@
         }
         delay_ms(faults.slow_ms).await;
         match (request.method(), request.uri().path()) {
-            (&Method::GET, VMS_PATH) => json(StatusCode::OK, &self.listed(&faults)),
+            (&Method::GET, VMS_PATH) => {
+                let known_tag = request.headers().get(http::header::IF_NONE_MATCH);
+                tagged_json(known_tag, &self.listed(&faults))
+            }
             (&Method::GET, PRICES_PATH) => json(StatusCode::OK, &self.state.lock().prices),
             (&Method::GET, NOTICES_PATH) => {
                 json(StatusCode::OK, &self.state.lock().inventory.notices())
--- a/crates/fl-standins/src/http_parts.rs
+++ b/crates/fl-standins/src/http_parts.rs
@@ -45,6 +45,23 @@
     }
 }
 
+/// Answers with an entity tag, or with 304 and no body to a reader that has this very value.
+pub(crate) fn tagged_json(
+    known_tag: Option<&header::HeaderValue>,
+    value: &impl Serialize,
+) -> Reply {
+    let body = serde_json::to_vec(value).map_err(|_| Closed)?;
+    let tag = header::HeaderValue::from_str(&format!("\"{}\"", fl_protocol::sha256_hex(&body)))
+        .map_err(|_| Closed)?;
+    let mut response = if known_tag == Some(&tag) {
+        respond(StatusCode::NOT_MODIFIED, "application/json", Bytes::new())?
+    } else {
+        respond(StatusCode::OK, "application/json", Bytes::from(body))?
+    };
+    response.headers_mut().insert(header::ETAG, tag);
+    Ok(response)
+}
+
 pub(crate) fn text(status: StatusCode, message: &str) -> Reply {
     respond(status, "text/plain", Bytes::from(message.to_string()))
 }
