Count idle places once a report when borrowing them

Cause: small_one_served failed, with 32 large calls before the small ones: a node added the idle places of a lagged report to what ran at each review, so the same idle places were taken again and again until four times its share ran, 32 calls before a runner with 4 slots.

Change: half of the idle places that the reports show are added to what ran here when the oldest report was true; without a report nothing is borrowed. The arithmetic moves to fl_limits::borrowing.

--- a/crates/fl-limits/src/lib.rs
+++ b/crates/fl-limits/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod adaptive_limit;
 pub mod back_off;
+pub mod borrowing;
 pub mod fair_queue;
 pub mod retry_budget;
 pub mod shares;
--- a/crates/fl-node/src/admission/pool.rs
+++ b/crates/fl-node/src/admission/pool.rs
@@ -1,9 +1,11 @@
 //! Learns how many streams the runners take without queueing, and this node's share of them.
 
 use super::NodeAdmission;
+use fl_kernel::clock::unix_ms;
 use fl_kernel::names;
 use fl_kernel::services::{Backend, Directory, Membership};
 use fl_limits::AdaptiveLimit;
+use fl_limits::borrowing::{Borrowing, Idle};
 use fl_limits::shares::{live_nodes, share};
 use fl_protocol::VmName;
 use fl_protocol::platform::VmKind;
@@ -13,13 +15,11 @@
 /// Time between two looks at the reports.
 const REVIEW: Duration = Duration::from_millis(100);
 
-/// Times its share that a node uses at most, while others leave theirs idle.
-const BORROWING_LIMIT: f64 = 4.0;
-
 /// Limits of the runners, sorted by VM name.
 #[derive(Default)]
 struct Pool {
     limits: Vec<(VmName, AdaptiveLimit)>,
+    borrowing: Borrowing,
 }
 
 /// Spawns the task that learns.
@@ -55,12 +55,11 @@
     let live = live_nodes(&membership.members());
     let mut door = admission.door.lock();
     let own = share(pool.observe(&runners), live);
-    // What other nodes leave idle may be used, so that uneven arrivals waste no capacity; reports
-    // lag, so the own share bounds how much.
-    let with_idle = door.running() as f64 + pool.idle(&runners, live);
-    door.set_places(own.max(with_idle.min(own * BORROWING_LIMIT)), live);
+    pool.borrowing.remember(door.running(), unix_ms());
+    let places = pool.borrowing.places(own, pool.idle(&runners));
+    door.set_places(places, live);
     door.let_through();
-    metrics::gauge!("fl_door_places").set(own);
+    metrics::gauge!("fl_door_places").set(places);
     metrics::gauge!("fl_door_running").set(door.running() as f64);
     metrics::gauge!("fl_door_waiting").set(door.waiting() as f64);
 }
@@ -87,14 +86,12 @@
         limit.streams()
     }
 
-    /// This node's share of the streams that the reports show as free.
-    fn idle(&self, runners: &[Backend], live: usize) -> f64 {
+    /// What the reports show as idle; `None` before any came.
+    fn idle(&self, runners: &[Backend]) -> Option<Idle> {
+        let reports = runners.iter().filter_map(|runner| runner.load.as_ref());
+        let as_of_ms = reports.clone().map(|report| report.as_of_ms).min()?;
         let limit: f64 = self.limits.iter().map(|(_, limit)| limit.streams()).sum();
-        let used: u32 = runners
-            .iter()
-            .filter_map(|runner| runner.load.as_ref())
-            .map(|report| report.running + report.waiting)
-            .sum();
-        share((limit - f64::from(used)).max(0.0), live)
+        let used: u32 = reports.map(|report| report.running + report.waiting).sum();
+        Some(Idle { as_of_ms, streams: limit - f64::from(used) })
     }
 }
