--- a/crates/fl-node/src/event_log.rs
+++ b/crates/fl-node/src/event_log.rs
@@ -2,12 +2,16 @@
 //!
 //! See `docs/design/020-time-line.md`.
 
+mod life;
+
+pub use life::{announce_ready, hand_over, keepers};
+
 use crate::context::{ServiceContext, StartError};
 use fl_kernel::clock::unix_ms;
-use fl_kernel::services::{ConfigurationSource, EventLog, Membership, Peers};
-use fl_kernel::{RegistryError, names};
+use fl_kernel::names;
+use fl_kernel::services::EventLog;
 use fl_protocol::event::{Event, EventKind, Stamp};
-use fl_protocol::{DataCenterName, Member, RequestId, VmName, hash64, request_id_text};
+use fl_protocol::{DataCenterName, RequestId, VmName, request_id_text};
 use fl_timeline::kind::kind_name;
 use fl_timeline::{EventFilter, EventRing, HybridClock, TimeLinePage};
 use parking_lot::Mutex;
@@ -21,10 +25,6 @@
 const RING_EVENTS: usize = 32_768;
 /// Events that a node keeps for others that went away.
 const KEPT_EVENTS: usize = 16_384;
-/// Events that a node gives to a peer when it goes away.
-const LAST_EVENTS: usize = 2_048;
-/// Peers that are tried for that, since little time is left.
-const KEEPERS_TRIED: usize = 3;
 
 /// Keeps the newest events of this node and the clock that stamps them.
 pub struct TimeLineLog {
@@ -49,51 +49,6 @@
     Ok(log)
 }
 
-/// Records that the node is ready, once it has a configuration.
-pub async fn announce_ready(context: ServiceContext) {
-    let Ok(source) = context.registry.find::<dyn ConfigurationSource>(names::CONFIGURATION) else {
-        return;
-    };
-    let mut changes = source.subscribe();
-    while source.current().version == 0 {
-        let change = context.cancel.run_until_cancelled(changes.changed()).await;
-        if !matches!(change, Some(Ok(()))) {
-            return;
-        }
-    }
-    if let Ok(log) = context.registry.find::<dyn EventLog>(names::EVENT_LOG) {
-        log.record(EventKind::NodeReady, None, format!("version {}", source.current().version));
-    }
-}
-
-/// Gives the newest events to a peer, so that the time line tells what this node did although its
-/// memory is gone.
-pub async fn hand_over(context: &ServiceContext) -> Result<(), RegistryError> {
-    let log = context.registry.find::<TimeLineLog>(TIME_LINE)?;
-    let peers = context.registry.find::<dyn Peers>(names::PEERS)?;
-    let membership = context.registry.find::<dyn Membership>(names::MEMBERSHIP)?;
-    let events = log.newest(LAST_EVENTS);
-    for member in keepers(&membership.self_member(), membership.members()) {
-        if peers.keep_events(&member, &events).await.is_ok() {
-            return Ok(());
-        }
-    }
-    Ok(())
-}
-
-/// Peers that may keep the events of a node, best first: in another data centre, since the node's
-/// own may go as a whole, and spread over them by rendezvous hashing.
-pub fn keepers(own: &Member, members: Vec<Member>) -> Vec<Member> {
-    let mut peers = members;
-    peers.retain(|member| member.vm != own.vm && member.state.takes_new_work());
-    peers.sort_by_key(|member| {
-        let rank = hash64(&[own.vm.as_bytes(), member.vm.as_bytes()]);
-        (member.data_center == own.data_center, rank)
-    });
-    peers.truncate(KEEPERS_TRIED);
-    peers
-}
-
 impl TimeLineLog {
     /// Makes an empty log for a node.
     pub fn new(vm: &str, data_center: &str) -> Self {
