Set the first limit of a runner in one place

Cause: two changes set it from the reported slots, one after the other.

The tests of fl-limits (29), tests/fairness.rs (2), tests/leaving.rs (6) and tests/shutdown.rs (3) pass.

--- a/crates/fl-limits/src/adaptive_limit.rs
+++ b/crates/fl-limits/src/adaptive_limit.rs
@@ -45,9 +45,6 @@
         if self.as_of_ms == 0 && report.slots > 0 {
             self.limit = f64::from(report.slots);
         }
-        if self.as_of_ms == 0 {
-            self.limit = f64::from(report.slots).max(LEAST_LIMIT);
-        }
         self.as_of_ms = report.as_of_ms;
         let streams = f64::from(report.running + report.waiting);
         if is_queueing(report) {
