Forget sent streams whose end was never told, and switch the cost of fill

Cause: a lost word of a stream's end would have made its runner look loaded for good, and the cost of full runners could not be measured on its own.

Change: such a stream counts for 15 minutes at most; the cost of fill is one of the switches.

Proof, seen to fail first: with no end to the time abandoned_streams fails.

--- a/crates/fl-routing/examples/compare_policies/main.rs
+++ b/crates/fl-routing/examples/compare_policies/main.rs
@@ -56,6 +56,7 @@
         case("no wait for home", USUAL, || prefix(|s| s.wait_for_home = false)),
         case("with price", USUAL, || prefix(|s| s.price = true)),
         case("no nearness", USUAL, || prefix(|s| s.near = false)),
+        case("no cost of fill", USUAL, || prefix(|s| s.fill = false)),
         case("no lag correction", Conditions { correct_lag: false, ..USUAL }, usual),
         case("no own blocks", Conditions { expect_own: false, ..USUAL }, usual),
         case("no cache events", Conditions { events: false, ..USUAL }, usual),
--- a/crates/fl-routing/src/policy/prefix.rs
+++ b/crates/fl-routing/src/policy/prefix.rs
@@ -52,6 +52,8 @@
     pub price: bool,
     /// Prefers the own data centre.
     pub near: bool,
+    /// Prefers runners with free slots.
+    pub fill: bool,
 }
 
 impl Default for Switches {
@@ -64,6 +66,7 @@
             wait_for_home: true,
             price: false,
             near: true,
+            fill: true,
         }
     }
 }
@@ -108,7 +111,8 @@
 
     fn cost_ms(&self, choice: &Choice, candidate: &Candidate) -> f64 {
         let far_ms = if self.switches.near && !candidate.near { FAR_MS } else { 0.0 };
-        choice.first_token_ms + far_ms + FULL_MS * candidate.load.fill()
+        let fill_ms = if self.switches.fill { FULL_MS * candidate.load.fill() } else { 0.0 };
+        choice.first_token_ms + far_ms + fill_ms
     }
 
     fn pick(&self, call: &Call, candidates: &[Candidate], choices: &[Choice]) -> Option<Choice> {
@@ -174,8 +178,8 @@
         let holds_some = belief.cached_blocks(probe) > 0;
         holds_some.then(|| (belief.cached_blocks(&call.blocks), index))
     };
-    let far_too = candidates.len() <= PROBED_RUNNERS;
-    let probed = (0..candidates.len()).filter(|index| far_too || candidates[*index].near);
+    let probes_all = candidates.len() <= PROBED_RUNNERS;
+    let probed = (0..candidates.len()).filter(|index| probes_all || candidates[*index].near);
     probed.filter_map(held).max().map(|(_, index)| index)
 }
 
--- a/crates/fl-routing/src/sent.rs
+++ b/crates/fl-routing/src/sent.rs
@@ -5,6 +5,9 @@
 
 /// How long an ended stream is remembered, in milliseconds; reports lag less than this.
 const ENDED_KEPT_MS: u64 = 10_000;
+/// A stream whose end was not told in this time is forgotten, in milliseconds, so that a lost word
+/// does not make its runner look loaded for good.
+const ABANDONED_MS: u64 = 900_000;
 /// Weight of the newest stream in the mean duration.
 const MEAN_WEIGHT: f64 = 0.05;
 /// The mean duration before any stream ended, in milliseconds.
@@ -81,9 +84,7 @@
                 stream.ended_at_ms = Some(now_ms);
             }
         }
-        self.streams.retain(|stream| {
-            stream.ended_at_ms.is_none_or(|ended_ms| ended_ms + ENDED_KEPT_MS > now_ms)
-        });
+        self.streams.retain(|stream| stream.still_counts(now_ms));
     }
 
     /// How the report of a runner is to be corrected; without one everything counts as added.
@@ -109,6 +110,15 @@
     }
 }
 
+impl Stream {
+    fn still_counts(&self, now_ms: UnixMs) -> bool {
+        match self.ended_at_ms {
+            Some(ended_ms) => ended_ms + ENDED_KEPT_MS > now_ms,
+            None => self.sent_at_ms + ABANDONED_MS > now_ms,
+        }
+    }
+}
+
 impl Correction {
     fn count(&mut self, stream: &Stream, as_of_ms: UnixMs) {
         let is_in_report = stream.sent_at_ms <= as_of_ms;
--- a/crates/fl-routing/tests/policies.rs
+++ b/crates/fl-routing/tests/policies.rs
@@ -128,3 +128,13 @@
     assert_eq!(correction, expected);
     assert_eq!(Load::corrected(Some(&report), correction, 0.0).streams, 3);
 }
+
+#[test]
+fn abandoned_streams() {
+    let mut sent = SentWork::default();
+    sent.sent(1, "r1", 100, 0);
+    sent.sent(2, "r1", 100, 800_000);
+    sent.sent(3, "r1", 100, 900_000);
+    sent.ended(3, "r1", 900_000);
+    assert_eq!(sent.correction("r1", None).own_streams, 1, "the first one's end was never told");
+}
