--- a/crates/fl-testbed/examples/idle_cost.rs
+++ b/crates/fl-testbed/examples/idle_cost.rs
@@ -14,7 +14,6 @@
 const RUNNERS: usize = 12;
 const SETTLE: Duration = Duration::from_secs(15);
 const SPAN: Duration = Duration::from_secs(20);
-const CLOCK_TICKS_PER_S: f64 = 100.0;
 
 #[tokio::main]
 async fn main() {
@@ -33,14 +32,14 @@
     options.relay_backends = true;
     let bed = Testbed::start(options).await;
     tokio::time::sleep(SETTLE).await;
-    let cpu_before: f64 = bed.nodes.iter().map(|node| cpu_seconds(node.id())).sum();
+    let cpu_before: f64 = bed.nodes.iter().map(|node| node.cpu_seconds()).sum();
     let before = counts(bed.network.traffic());
     let begun = Instant::now();
     tokio::time::sleep(SPAN).await;
     let elapsed_s = begun.elapsed().as_secs_f64();
     let after = counts(bed.network.traffic());
-    let cpu_after: f64 = bed.nodes.iter().map(|node| cpu_seconds(node.id())).sum();
-    let memory_bytes: u64 = bed.nodes.iter().map(|node| memory_bytes(node.id())).sum();
+    let cpu_after: f64 = bed.nodes.iter().map(|node| node.cpu_seconds()).sum();
+    let memory_bytes: u64 = bed.nodes.iter().map(|node| node.memory_bytes()).sum();
     let per_node = nodes as f64 * elapsed_s;
     let rate = |index: usize| (after[index] - before[index]) as f64 / per_node;
     println!(
@@ -58,16 +57,3 @@
     let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
     [load(&traffic.gossip), load(&traffic.peer), load(&traffic.platform), load(&traffic.backend)]
 }
-
-fn cpu_seconds(process: u32) -> f64 {
-    let text = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap();
-    let fields: Vec<&str> = text.rsplit(')').next().unwrap().split_whitespace().collect();
-    let ticks: f64 = fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap();
-    ticks / CLOCK_TICKS_PER_S
-}
-
-fn memory_bytes(process: u32) -> u64 {
-    let text = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
-    line.split_whitespace().next().unwrap().parse::<u64>().unwrap() * 1024
-}
--- a/crates/fl-testbed/examples/node_cost.rs
+++ b/crates/fl-testbed/examples/node_cost.rs
@@ -23,7 +23,6 @@
 const THROUGHPUT_TOKENS: u64 = 20_000;
 const TIMEOUT: Duration = Duration::from_secs(20);
 const PROMPT: &str = "which size of boot fits the guest who rented a forty two last year";
-const CLOCK_TICKS_PER_S: f64 = 100.0;
 
 #[tokio::main]
 async fn main() {
@@ -131,7 +130,7 @@
 /// Tokens a node passes on for each second of its processor time, with many streams at once.
 async fn throughput(binary: &str, engine: &EngineOptions) {
     let bed = std::sync::Arc::new(start(binary, engine).await);
-    let before = cpu_seconds(bed.nodes[0].id());
+    let before = bed.nodes[0].cpu_seconds();
     let begun = Instant::now();
     let mut calls = tokio::task::JoinSet::new();
     for index in 0..THROUGHPUT_CALLS {
@@ -144,7 +143,7 @@
     }
     let sizes = calls.join_all().await;
     let elapsed = begun.elapsed();
-    let spent = cpu_seconds(bed.nodes[0].id()) - before;
+    let spent = bed.nodes[0].cpu_seconds() - before;
     let tokens = THROUGHPUT_CALLS as f64 * THROUGHPUT_TOKENS as f64;
     println!("{THROUGHPUT_CALLS} streams of {THROUGHPUT_TOKENS} tokens at once");
     println!("  {:.0} bytes in {elapsed:?}", sizes.iter().sum::<usize>() as f64);
@@ -167,11 +166,3 @@
     samples.sort();
     samples[((samples.len() - 1) as f64 * share) as usize]
 }
-
-/// Processor time of a process, user and system.
-fn cpu_seconds(process: u32) -> f64 {
-    let text = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap();
-    let fields: Vec<&str> = text.rsplit(')').next().unwrap().split_whitespace().collect();
-    let ticks: f64 = fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap();
-    ticks / CLOCK_TICKS_PER_S
-}
--- a/crates/fl-testbed/src/node.rs
+++ b/crates/fl-testbed/src/node.rs
@@ -5,6 +5,9 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
 
+/// Ticks in which the kernel counts processor time.
+const CLOCK_TICKS_PER_S: f64 = 100.0;
+
 /// A node as a process.
 pub struct NodeProcess {
     /// Its VM.
@@ -121,6 +124,26 @@
         });
     }
 
+    /// Processor time it has used, user and system, in seconds.
+    pub fn cpu_seconds(&self) -> f64 {
+        let text = self.proc_file("stat");
+        let fields: Vec<&str> = text.rsplit(')').next().unwrap().split_whitespace().collect();
+        let ticks: f64 = fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap();
+        ticks / CLOCK_TICKS_PER_S
+    }
+
+    /// Memory it holds, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        let text = self.proc_file("status");
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        line.split_whitespace().next().unwrap().parse::<u64>().unwrap() * 1024
+    }
+
+    fn proc_file(&self, name: &str) -> String {
+        let path = std::path::Path::new("/proc").join(self.id().to_string()).join(name);
+        std::fs::read_to_string(path).unwrap()
+    }
+
     /// Its log so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.settings_path.with_extension("log")).unwrap_or_default()
