Judge uncounted bookings only where every service could be read

The counts are now read all along, the last page of a service stands when it is gone, and the comparison in this one direction is made only when the last reading reached every service. Runs beyond one and runs of calls that were said to be not run count as before.

Proof: a node that counts nothing is a fault for each answer, and none once a second service cannot be read.

--- a/crates/fl-load/src/experiment/summary.rs
+++ b/crates/fl-load/src/experiment/summary.rs
@@ -83,8 +83,8 @@
         scenario: first.scenario.clone(),
         label: first.label.clone(),
         seeds: results.len(),
-        recomputed_tokens: spread(results.iter().map(|result| result.recomputed_tokens as f64)),
-        cost_millicents_per_1000_tokens: spread(
+        recomputed_tokens: spread_of(results.iter().map(|result| result.recomputed_tokens as f64)),
+        cost_millicents_per_1000_tokens: spread_of(
             results.iter().map(|result| result.cost_millicents_per_1000_tokens),
         ),
         failed: all.iter().map(|group| group.failed).sum(),
@@ -95,7 +95,7 @@
 
 fn summarise_class(class: &str, all: &[GroupResult]) -> ClassSummary {
     let of = |figure: &dyn Fn(&GroupResult) -> f64| {
-        spread(all.iter().filter(|group| group.class == class).map(figure))
+        spread_of(all.iter().filter(|group| group.class == class).map(figure))
     };
     ClassSummary {
         class: class.to_string(),
@@ -112,7 +112,8 @@
     if whole == 0 { 0.0 } else { part as f64 * 100.0 / whole as f64 }
 }
 
-fn spread(figures: impl Iterator<Item = f64>) -> Spread {
+/// Spans figures.
+pub(crate) fn spread_of(figures: impl Iterator<Item = f64>) -> Spread {
     let figures: Vec<f64> = figures.collect();
     let sum: f64 = figures.iter().sum();
     Spread {
--- a/crates/fl-load/src/lib.rs
+++ b/crates/fl-load/src/lib.rs
@@ -1,7 +1,7 @@
 //! Open-loop load, answer checks, experiments and plots.
 //!
 //! Arrival times are fixed beforehand from a seed, so that slow answers do not slow the load and
-//! two runs with the same seed offer the same calls. See `docs/measurements/README.md`.
+//! two runs with the same seed offer the same calls. See `docs/measurements/routing.md`.
 
 mod answer;
 mod ask;
@@ -15,6 +15,7 @@
 mod plot;
 mod report;
 mod run;
+mod services;
 mod tally;
 
 pub use answer::{AnswerCheck, Step};
--- a/crates/fl-load/src/report.rs
+++ b/crates/fl-load/src/report.rs
@@ -65,7 +65,7 @@
     pub run_twice: u64,
     /// Said to be not run, though a service ran it.
     pub contradicted: u64,
-    /// Answered, though no service ran it.
+    /// Answered, though no service ran it; 0 where a service could not be read at the end.
     pub not_counted: u64,
     /// Stock look-ups sent.
     pub look_ups: u64,
--- a/crates/fl-load/src/run.rs
+++ b/crates/fl-load/src/run.rs
@@ -3,21 +3,20 @@
 use crate::ask::{Ask, Ending, ask};
 use crate::call::call;
 use crate::caller::{Caller, Identity};
-use crate::engines::{EngineWatch, PromptLog};
+use crate::engines::{EngineTotals, EngineWatch, PromptLog};
 use crate::error::LoadError;
 use crate::mix::{Arrival, User, Work, schedule, workspace_key};
 use crate::report::LoadResult;
-use crate::tally::{CountedRun, Tally};
+use crate::services::RunWatch;
+use crate::tally::Tally;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-/// Pause between two reads of the engines' counters.
-const ENGINE_PERIOD: Duration = Duration::from_millis(250);
-/// The path where a stand-in service tells how often it ran each call.
-const RUNS_PATH: &str = "/runs";
+/// Pause between two reads of the engines' and services' counters.
+const BACKEND_PERIOD: Duration = Duration::from_millis(250);
 const SECONDS_PER_H: f64 = 3_600.0;
 const TOKENS_PER_COST: f64 = 1_000.0;
 
@@ -66,15 +65,15 @@
     let tally = Mutex::new(Tally::new(plan.user));
     let shared = Arc::new(Shared { plan, caller, tally, prompts: Mutex::default() });
     let watching = CancellationToken::new();
-    let watcher = tokio::spawn(watch_engines(shared.clone(), watch, watching.clone()));
+    let runs = RunWatch::new(&shared.plan.services);
+    let watcher = tokio::spawn(watch_backends(shared.clone(), watch, runs, watching.clone()));
     let calls = TaskTracker::new();
     send_all(&shared, arrivals, &calls, cancel).await;
     calls.close();
     calls.wait().await;
     watching.cancel();
     let watch = watcher.await.ok();
-    let runs = read_runs(&shared).await;
-    Ok(result(&shared, watch, &runs))
+    Ok(result(&shared, watch))
 }
 
 async fn send_all(
@@ -124,39 +123,31 @@
     }
 }
 
-async fn watch_engines(
+async fn watch_backends(
     shared: Arc<Shared>,
     mut watch: EngineWatch,
+    mut runs: RunWatch,
     stop: CancellationToken,
-) -> EngineWatch {
+) -> (EngineWatch, RunWatch) {
     while !stop.is_cancelled() {
         tokio::select! {
-            () = tokio::time::sleep(ENGINE_PERIOD) => {}
+            () = tokio::time::sleep(BACKEND_PERIOD) => {}
             () = stop.cancelled() => {}
         }
         watch.read(&shared.caller).await;
+        runs.read(&shared.caller).await;
     }
-    watch
+    (watch, runs)
 }
 
-async fn read_runs(shared: &Shared) -> Vec<CountedRun> {
-    let mut runs = Vec::new();
-    for service in &shared.plan.services {
-        let page = shared.caller.get(*service, RUNS_PATH).await;
-        let read: Option<Vec<CountedRun>> =
-            page.and_then(|page| serde_json::from_slice(&page).ok());
-        runs.extend(read.unwrap_or_default());
-    }
-    runs
-}
-
-fn result(shared: &Shared, watch: Option<EngineWatch>, runs: &[CountedRun]) -> LoadResult {
+fn result(shared: &Shared, watched: Option<(EngineWatch, RunWatch)>) -> LoadResult {
     let plan = &shared.plan;
     let mut tally = lock(&shared.tally);
-    if !plan.services.is_empty() {
-        tally.compare_runs(runs);
+    let mut engines = EngineTotals::default();
+    if let Some((watch, runs)) = watched {
+        engines = watch.totals();
+        tally.compare_runs(&runs.runs(), runs.is_complete());
     }
-    let engines = watch.map(|watch| watch.totals()).unwrap_or_default();
     let prompts = std::mem::take(&mut *lock(&shared.prompts));
     let least_prefill_tokens = prompts.least_prefill_tokens();
     let mut result = LoadResult {
--- a/crates/fl-load/src/tally.rs
+++ b/crates/fl-load/src/tally.rs
@@ -4,6 +4,7 @@
 use crate::call::Told;
 use crate::mix::{PlainCall, User};
 use crate::report::{CallCounts, GroupResult, Percentiles, RefusalCount};
+use crate::services::CountedRun;
 use fl_protocol::{request_id_of_key, request_id_text};
 use hdrhistogram::Histogram;
 use serde::Deserialize;
@@ -31,13 +32,6 @@
     answered: bool,
 }
 
-/// How often a service ran a call.
-#[derive(Debug, Clone, Deserialize)]
-pub(crate) struct CountedRun {
-    key: String,
-    count: u64,
-}
-
 /// The part of a service's answer that names the call.
 #[derive(Deserialize)]
 struct NamedAnswer {
@@ -115,13 +109,16 @@
     }
 
     /// Holds what the services counted against what the callers were told.
-    pub(crate) fn compare_runs(&mut self, runs: &[CountedRun]) {
+    ///
+    /// A call that was answered and not counted is a fault only where all runs could be read: a
+    /// service that was taken back took its last ones along.
+    pub(crate) fn compare_runs(&mut self, runs: &[CountedRun], is_complete: bool) {
         for call in &self.told {
             let own = runs.iter().filter(|run| call.keys.contains(&run.key));
             let count: u64 = own.map(|run| run.count).sum();
             self.calls.run_twice += u64::from(count > 1);
             self.calls.contradicted += u64::from(call.not_run && count > 0);
-            self.calls.not_counted += u64::from(call.answered && count == 0);
+            self.calls.not_counted += u64::from(is_complete && call.answered && count == 0);
         }
     }
 
--- a/crates/fl-load/tests/runs.rs
+++ b/crates/fl-load/tests/runs.rs
@@ -71,6 +71,25 @@
     assert!(counter.first_token.p50_ms <= counter.first_token.p99_ms);
 }
 
+/// The fake node counts no runs, which is a fault only if every service could be read.
+#[rstest]
+#[case::all_read(false)]
+#[case::one_gone(true)]
+#[tokio::test]
+async fn uncounted_answers(#[case] gone: bool) {
+    let node = fake_node::start(Manner::Whole).await;
+    let mut plan = plan(vec![node]);
+    plan.rate_per_s = 200.0;
+    plan.services = vec![node];
+    if gone {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        plan.services.push(listener.local_addr().unwrap());
+    }
+    let calls = run(plan, &CancellationToken::new()).await.unwrap().calls;
+    assert!(calls.answered > 0);
+    assert_eq!(calls.not_counted, if gone { 0 } else { calls.answered });
+}
+
 #[tokio::test]
 async fn dead_node_passed_over() {
     let dead = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
--- a/crates/fl-load/tests/support/fake_node.rs
+++ b/crates/fl-load/tests/support/fake_node.rs
@@ -66,6 +66,9 @@
 
 async fn answer(node: Arc<Node>, request: Request<Incoming>) -> Reply {
     let path = request.uri().path().to_string();
+    if path == "/runs" {
+        return reply(StatusCode::OK, "[]".to_string(), "");
+    }
     if path.starts_with(SERVICES_PATH) {
         let key = request.headers().get(IDEMPOTENCY_KEY_HEADER);
         let key = key.map(|key| key.to_str().unwrap()).unwrap_or_default();
