--- a/crates/fl-kernel/src/services.rs
+++ b/crates/fl-kernel/src/services.rs
@@ -167,6 +167,17 @@
 pub trait Quarantine: Send + Sync {
     /// What is known of a content.
     fn verdict(&self, fingerprint: Fingerprint) -> Verdict;
+    /// Says whether a request may run its content now; requests with one suspect content run one
+    /// after the other.
+    fn may_run(&self, _fingerprint: Fingerprint, _id: RequestId) -> bool {
+        true
+    }
+    /// Takes word that a suspect content runs at a runner, from which other suspects keep away.
+    fn runs_at(&self, _fingerprint: Fingerprint, _runner: &VmName) {}
+    /// The runners on which a suspect content must not run now, since other suspects may.
+    fn kept_from(&self, _fingerprint: Fingerprint) -> Vec<VmName> {
+        Vec::new()
+    }
     /// Takes word that a server died without notice with these contents in flight.
     fn server_died(&self, server: &VmName, in_flight: &[Fingerprint]);
     /// Takes word that a suspect ended well, which clears it.
--- a/crates/fl-node/src/interim.rs
+++ b/crates/fl-node/src/interim.rs
@@ -13,8 +13,7 @@
 pub fn start(context: &ServiceContext) -> Result<(), StartError> {
     let interim = Arc::new(Interim);
     let registry = &context.registry;
-    registry.register::<dyn Admission>(names::ADMISSION, interim.clone())?;
-    registry.register::<dyn Quarantine>(names::QUARANTINE, interim)?;
+    registry.register::<dyn Admission>(names::ADMISSION, interim)?;
     Ok(())
 }
 
@@ -39,12 +38,3 @@
     }
     fn count_first_try(&self, _back_end: &str) {}
 }
-
-impl Quarantine for Interim {
-    fn verdict(&self, _fingerprint: Fingerprint) -> Verdict {
-        Verdict::Clear
-    }
-    fn server_died(&self, _server: &VmName, _in_flight: &[Fingerprint]) {}
-    fn ended_well(&self, _fingerprint: Fingerprint) {}
-    fn learn(&self, _fingerprint: Fingerprint, _verdict: Verdict) {}
-}
--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod logging;
 pub mod membership;
 pub mod options;
+pub mod quarantine;
 pub mod readiness;
 pub mod routing;
 pub mod run;
--- a/crates/fl-node/src/run.rs
+++ b/crates/fl-node/src/run.rs
@@ -7,7 +7,7 @@
 use crate::streams::{self, Streams};
 use crate::{
     admin, configuration, directory, event_log, fleet, interim, lease, ledger, logging, membership,
-    routing,
+    quarantine, routing,
 };
 use fl_config::Settings;
 use fl_kernel::clock::unix_ms;
@@ -88,6 +88,7 @@
     fleet::start(context)?;
     routing::start(context)?;
     ledger::start(context)?;
+    quarantine::start(context)?;
     let streams = streams::start(context)?;
     streams::start_peers(context, streams.clone())?;
     streams.watch()?;
--- a/crates/fl-node/src/streams/attempt.rs
+++ b/crates/fl-node/src/streams/attempt.rs
@@ -6,6 +6,7 @@
 use super::{Links, OwnedRequest, Streams};
 use fl_kernel::clock::unix_ms;
 use fl_kernel::services::Backend;
+use fl_platform::HttpError;
 use fl_platform::engine::{EngineError, TokenReader};
 use fl_protocol::Fingerprint;
 use fl_protocol::engine::StreamOrder;
@@ -75,7 +76,9 @@
     let started_at = Instant::now();
     let mut connection = open(streams, links, request, place).await;
     let mut failures = 0;
+    let mut reached = false;
     loop {
+        reached |= !matches!(connection, Err(EngineError::Http(HttpError::NotConnected(_))));
         let error = match connection {
             Ok(mut reader) => {
                 let before = request.next_offset();
@@ -92,7 +95,13 @@
             Err(error) => error,
         };
         match error {
-            EngineError::UnknownStream => return AttemptEnd::Lost(error.to_string()),
+            EngineError::UnknownStream => {
+                // A connection broke and the engine came back empty: it died, however short.
+                if failures > 0 && reached {
+                    report_death(streams, links, place, &error);
+                }
+                return AttemptEnd::Lost(error.to_string());
+            }
             EngineError::Refused(..) => return AttemptEnd::Lost(error.to_string()),
             EngineError::AlreadyStarted => {}
             // The engine held the connection open: the stream is queued or something between the
@@ -101,7 +110,11 @@
             _ => failures += 1,
         }
         if failures > RESUME_TRIES {
-            report_death(streams, links, place, &error);
+            links.directory.mark_contact(&place.runner, false);
+            // A server that was dead before the request came is no evidence against it.
+            if reached {
+                report_death(streams, links, place, &error);
+            }
             return AttemptEnd::Lost(error.to_string());
         }
         if failures > 0 {
@@ -186,7 +199,6 @@
 ///
 /// A runner that is leaving is no evidence against its requests.
 fn report_death(streams: &Streams, links: &Links, place: &StreamPlace, error: &EngineError) {
-    links.directory.mark_contact(&place.runner, false);
     let backends = links.directory.backends(VmKind::Runner);
     let leaving = backends
         .iter()
--- a/crates/fl-node/src/streams/drive.rs
+++ b/crates/fl-node/src/streams/drive.rs
@@ -127,6 +127,14 @@
     if verdict == Verdict::Quarantined {
         return Err(Problem::Quarantined);
     }
+    if !links.quarantine.may_run(record.fingerprint, request.id) {
+        return Err(Problem::Overloaded { retry_after: COME_BACK_AFTER });
+    }
+    let mut excluded = excluded.to_vec();
+    if verdict == Verdict::Suspect {
+        excluded.extend(links.quarantine.kept_from(record.fingerprint));
+        excluded.sort();
+    }
     let query = RouteQuery {
         id: request.id,
         model: request.chat.model.clone(),
@@ -134,10 +142,13 @@
         blocks: block_hashes(&request.chat.model, &request.chat.prompt_text()),
         prompt_tokens: request.prompt_tokens + request.next_offset(),
         max_tokens: request.chat.max_tokens,
-        excluded: excluded.to_vec(),
+        excluded,
         alone: verdict == Verdict::Suspect,
     };
     let route = links.router.choose(&query)?;
+    if verdict == Verdict::Suspect {
+        links.quarantine.runs_at(record.fingerprint, &route.runner);
+    }
     let attempt = request.next_attempt();
     let place = StreamPlace {
         runner: route.runner,
--- a/crates/fl-routing/src/lib.rs
+++ b/crates/fl-routing/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod belief;
 pub mod estimate;
 pub mod policy;
+pub mod quarantine;
 pub mod rendezvous;
 pub mod sent;
 pub mod servers;
