--- a/crates/fl-kernel/src/services.rs
+++ b/crates/fl-kernel/src/services.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use fl_protocol::call::{ServiceAnswer, ServiceCall};
 use fl_protocol::engine::LoadReport;
-use fl_protocol::event::{EventKind, Stamp};
+use fl_protocol::event::{Event, EventKind, Stamp};
 use fl_protocol::platform::{Vm, VmKind};
 use fl_protocol::{
     AttemptNumber, BlockHash, CallClass, Configuration, Fingerprint, Member, OwnerEpoch, Problem,
@@ -61,6 +61,10 @@
     fn mark_leaving(&self, vm: &VmName, leaving_at_ms: UnixMs);
     /// Takes word of a failed or succeeded contact with a VM.
     fn mark_contact(&self, vm: &VmName, ok: bool);
+    /// Takes word that this node serves model calls, so that it needs fresh reports.
+    fn note_call(&self);
+    /// Says whether this node served a model call lately.
+    fn in_use(&self) -> bool;
     /// Wakes on each change.
     fn subscribe(&self) -> watch::Receiver<u64>;
 }
@@ -245,6 +249,8 @@
     async fn tell(&self, to: &Member, news: &[News]) -> Result<(), PeerError>;
     /// Asks for the peer's list of VMs, for a node that starts while the platform is out.
     async fn fetch_vms(&self, from: &Member) -> Result<Vec<Vm>, PeerError>;
+    /// Gives events of the time line to a peer, for a node that goes away.
+    async fn keep_events(&self, to: &Member, events: &[Event]) -> Result<(), PeerError>;
 }
 
 /// Why a peer did not answer.
@@ -352,6 +358,8 @@
     }
     /// See [`EventLog::observe`].
     fn observe(&self, _stamp: Stamp) {}
+    /// See [`Peers::keep_events`].
+    fn keep_events(&self, _events: Vec<Event>) {}
 }
 
 /// Takes events for the time line.
@@ -364,6 +372,8 @@
     }
     /// Takes the stamp of a peer's message, so that later events here are stamped after it.
     fn observe(&self, _stamp: Stamp) {}
+    /// Keeps events of a node that goes away.
+    fn keep(&self, _events: Vec<Event>) {}
 }
 
 /// Names an attempt, for logs and stream ids.
--- /dev/null
+++ b/crates/fl-node/src/admission/pool.rs
@@ -0,0 +1,97 @@
+//! Learns how many streams the runners take without queueing, and this node's share of them.
+
+use super::NodeAdmission;
+use fl_kernel::clock::unix_ms;
+use fl_kernel::names;
+use fl_kernel::services::{Backend, Directory, Membership};
+use fl_limits::AdaptiveLimit;
+use fl_limits::borrowing::{Borrowing, Idle};
+use fl_limits::shares::{live_nodes, share};
+use fl_protocol::VmName;
+use fl_protocol::platform::VmKind;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two looks at the reports.
+const REVIEW: Duration = Duration::from_millis(100);
+
+/// Limits of the runners, sorted by VM name.
+#[derive(Default)]
+struct Pool {
+    limits: Vec<(VmName, AdaptiveLimit)>,
+    borrowing: Borrowing,
+}
+
+/// Spawns the task that learns.
+pub fn spawn(admission: &Arc<NodeAdmission>) {
+    let admission = admission.clone();
+    let cancel = admission.context.cancel.clone();
+    let tasks = admission.context.tasks.clone();
+    tasks.spawn(async move {
+        let mut pool = Pool::default();
+        loop {
+            review(&admission, &mut pool);
+            tokio::select! {
+                () = tokio::time::sleep(REVIEW) => {}
+                () = cancel.cancelled() => return,
+            }
+        }
+    });
+}
+
+fn review(admission: &NodeAdmission, pool: &mut Pool) {
+    let registry = &admission.context.registry;
+    let Ok(directory) = registry.find::<dyn Directory>(names::DIRECTORY) else {
+        return;
+    };
+    let Ok(membership) = registry.find::<dyn Membership>(names::MEMBERSHIP) else {
+        return;
+    };
+    let mut runners = directory.backends(VmKind::Runner);
+    runners.retain(|runner| runner.leaving_at_ms.is_none() && runner.healthy);
+    if runners.is_empty() {
+        return;
+    }
+    let live = live_nodes(&membership.members());
+    let mut door = admission.door.lock();
+    let own = share(pool.observe(&runners), live);
+    pool.borrowing.remember(door.running(), unix_ms());
+    let places = pool.borrowing.places(own, pool.idle(&runners));
+    door.set_places(places, live);
+    door.let_through();
+    metrics::gauge!("fl_door_places").set(places);
+    metrics::gauge!("fl_door_running").set(door.running() as f64);
+    metrics::gauge!("fl_door_waiting").set(door.waiting() as f64);
+}
+
+impl Pool {
+    /// Takes the reports; gives the streams that all runners together take.
+    fn observe(&mut self, runners: &[Backend]) -> f64 {
+        self.limits.retain(|(name, _)| {
+            runners.binary_search_by(|runner| runner.vm.name.cmp(name)).is_ok()
+        });
+        runners.iter().map(|runner| self.observe_one(runner)).sum()
+    }
+
+    fn observe_one(&mut self, runner: &Backend) -> f64 {
+        let place = self.limits.binary_search_by(|(name, _)| name.cmp(&runner.vm.name));
+        let index = place.unwrap_or_else(|index| {
+            self.limits.insert(index, (runner.vm.name.clone(), AdaptiveLimit::default()));
+            index
+        });
+        let limit = &mut self.limits[index].1;
+        if let Some(report) = &runner.load {
+            limit.observe(report);
+        }
+        limit.streams()
+    }
+
+    /// What the reports show as idle; `None` before any came.
+    fn idle(&self, runners: &[Backend]) -> Option<Idle> {
+        let reports = runners.iter().filter_map(|runner| runner.load.as_ref());
+        let as_of_ms = reports.clone().map(|report| report.as_of_ms).min()?;
+        let limit: f64 = self.limits.iter().map(|(_, limit)| limit.streams()).sum();
+        let used: u32 = reports.map(|report| report.running + report.waiting).sum();
+        Some(Idle { as_of_ms, streams: limit - f64::from(used) })
+    }
+}
--- a/crates/fl-node/src/event_log.rs
+++ b/crates/fl-node/src/event_log.rs
@@ -2,6 +2,10 @@
 //!
 //! See `docs/design/020-time-line.md`.
 
+mod life;
+
+pub use life::{announce_ready, hand_over, keepers};
+
 use crate::context::{ServiceContext, StartError};
 use fl_kernel::clock::unix_ms;
 use fl_kernel::names;
@@ -19,6 +23,8 @@
 
 /// Events that one node keeps at most; about 10 MB.
 const RING_EVENTS: usize = 32_768;
+/// Events that a node keeps for others that went away.
+const KEPT_EVENTS: usize = 16_384;
 
 /// Keeps the newest events of this node and the clock that stamps them.
 pub struct TimeLineLog {
@@ -30,6 +36,8 @@
 struct State {
     clock: HybridClock,
     ring: EventRing,
+    /// Events of nodes that went away.
+    kept: EventRing,
 }
 
 /// Starts the service and registers it as [`EventLog`] and as [`TIME_LINE`].
@@ -44,7 +52,11 @@
 impl TimeLineLog {
     /// Makes an empty log for a node.
     pub fn new(vm: &str, data_center: &str) -> Self {
-        let state = State { clock: HybridClock::default(), ring: EventRing::new(RING_EVENTS) };
+        let state = State {
+            clock: HybridClock::default(),
+            ring: EventRing::new(RING_EVENTS),
+            kept: EventRing::new(KEPT_EVENTS),
+        };
         TimeLineLog {
             vm: vm.to_string(),
             data_center: data_center.to_string(),
@@ -52,18 +64,30 @@
         }
     }
 
-    /// The events that a filter lets through, with the node's clock.
+    /// The events that a filter lets through, with the node's clock; those kept for nodes that
+    /// went away come first.
     pub fn page(&self, filter: &EventFilter) -> TimeLinePage {
-        let state = self.state.lock();
+        let (clock, dropped_events, events) = self.select(filter);
         TimeLinePage {
             vm: self.vm.clone(),
             data_center: self.data_center.clone(),
-            clock: state.clock.last(),
-            dropped_events: state.ring.dropped_events(),
-            events: state.ring.select(filter),
+            clock,
+            dropped_events,
+            events: events.iter().map(|event| event.as_ref().clone()).collect(),
         }
     }
 
+    fn select(&self, filter: &EventFilter) -> (Stamp, u64, Vec<Arc<Event>>) {
+        let state = self.state.lock();
+        let mut events = state.kept.select(filter);
+        events.extend(state.ring.select(filter));
+        (state.clock.last(), state.ring.dropped_events(), events)
+    }
+
+    fn newest(&self, count: usize) -> Vec<Event> {
+        self.state.lock().ring.newest(count)
+    }
+
     fn push(&self, kind: EventKind, request_id: Option<String>, detail: String) {
         let mut state = self.state.lock();
         let stamp = state.clock.tick(unix_ms());
@@ -89,6 +113,13 @@
     fn observe(&self, stamp: Stamp) {
         self.state.lock().clock.observe(stamp, unix_ms());
     }
+
+    fn keep(&self, events: Vec<Event>) {
+        let mut state = self.state.lock();
+        for event in events {
+            state.kept.push(event);
+        }
+    }
 }
 
 fn log_event(level: Level, name: &str, request_id: Option<&str>, detail: &str) {
--- a/crates/fl-routing/src/policy/prefix.rs
+++ b/crates/fl-routing/src/policy/prefix.rs
@@ -10,7 +10,7 @@
 use crate::belief::Beliefs;
 use crate::rendezvous::top;
 use fl_protocol::Priority;
-use home::Popularity;
+use home::{Home, Popularity};
 use rand::{Rng, RngExt};
 
 /// Runners with the greatest ranks that are considered as homes.
@@ -21,8 +21,19 @@
 const LOAD_BOUND: f64 = 1.25;
 /// Share of its target a deferrable call spends on waiting for its prefix's home.
 const SLACK_SHARE: f64 = 0.5;
+/// Blocks behind the shared part that tell whether a runner holds a prefix.
+const PROBED_BLOCKS: usize = 4;
+/// Among more runners than this, only those of the own data centre are probed.
+const PROBED_RUNNERS: usize = 128;
+/// Share of its target within which a counter call goes where it is cheap.
+const PRICE_SHARE: f64 = 0.5;
 /// What a runner in another data centre costs extra, in milliseconds.
 const FAR_MS: f64 = 2.0;
+/// What a full runner costs more than an empty one, in milliseconds.
+///
+/// A stream in a full batch decodes slower and the next one waits for a slot; without this all
+/// calls that no cache can help go to the first runner until its slots are gone.
+const FULL_MS: f64 = 20.0;
 
 /// The ideas of the policy, each of which can be switched off to measure it.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -41,6 +52,8 @@
     pub price: bool,
     /// Prefers the own data centre.
     pub near: bool,
+    /// Prefers runners with free slots.
+    pub fill: bool,
 }
 
 impl Default for Switches {
@@ -48,11 +61,12 @@
         Switches {
             home: HomeRule::FirstLight,
             bounded_load: true,
-            random_picks: true,
+            random_picks: false,
             holders: true,
             wait_for_home: true,
-            price: true,
+            price: false,
             near: true,
+            fill: true,
         }
     }
 }
@@ -73,19 +87,19 @@
     fn shortlist(
         &self,
         call: &Call,
-        key: u64,
+        home: &Home,
         candidates: &[Candidate],
         beliefs: &Beliefs,
         random: &mut dyn Rng,
     ) -> Vec<usize> {
         let hashes: Vec<u64> = candidates.iter().map(|candidate| candidate.name_hash).collect();
-        let mut picks = top(key, &hashes, HOMES);
+        let mut picks = top(home.key, &hashes, HOMES);
         if self.switches.bounded_load && call.priority == Priority::Counter {
             let bound = load_bound(candidates);
             picks.retain(|index| candidates[*index].load.fill() <= bound);
         }
         if self.switches.holders {
-            picks.extend(best_holder(call, candidates, beliefs));
+            picks.extend(best_holder(call, home, candidates, beliefs));
         }
         if self.switches.random_picks || picks.is_empty() {
             picks.extend((0..RANDOM_PICKS).map(|_| random.random_range(0..candidates.len())));
@@ -97,15 +111,16 @@
 
     fn cost_ms(&self, choice: &Choice, candidate: &Candidate) -> f64 {
         let far_ms = if self.switches.near && !candidate.near { FAR_MS } else { 0.0 };
-        choice.first_token_ms + far_ms
+        let fill_ms = if self.switches.fill { FULL_MS * candidate.load.fill() } else { 0.0 };
+        choice.first_token_ms + far_ms + fill_ms
     }
 
     fn pick(&self, call: &Call, candidates: &[Candidate], choices: &[Choice]) -> Option<Choice> {
         let cost_ms = |choice: &Choice| self.cost_ms(choice, &candidates[choice.index]);
         let price = |choice: &Choice| candidates[choice.index].price_millicents_per_h as f64;
         let waits = call.priority == Priority::Deferrable && self.switches.wait_for_home;
-        let bound_ms =
-            if waits { call.target_ms as f64 * SLACK_SHARE } else { call.target_ms as f64 };
+        let share = if waits { SLACK_SHARE } else { PRICE_SHARE };
+        let bound_ms = call.target_ms as f64 * share;
         let in_time = choices.iter().filter(|choice| cost_ms(choice) <= bound_ms);
         let within = if waits {
             least(in_time, |choice| (choice.prefill_tokens as f64, cost_ms(choice)))
@@ -129,9 +144,9 @@
         if candidates.is_empty() {
             return None;
         }
-        let key = self.popularity.home_key(self.switches.home, &call.blocks, candidates.len());
-        let picks = match key {
-            Some(key) => self.shortlist(call, key, candidates, beliefs, random),
+        let home = self.popularity.home(self.switches.home, &call.blocks, candidates.len());
+        let picks = match home {
+            Some(home) => self.shortlist(call, &home, candidates, beliefs, random),
             None => (0..candidates.len()).collect(),
         };
         let choices: Vec<Choice> =
@@ -146,13 +161,26 @@
     LOAD_BOUND * sum / candidates.len() as f64 + one_stream
 }
 
-fn best_holder(call: &Call, candidates: &[Candidate], beliefs: &Beliefs) -> Option<usize> {
+/// Finds the runner that holds most of the prompt beyond what many calls share.
+///
+/// Engines evict the last blocks first, so a runner that holds any deep block holds one of the
+/// first behind the shared part; only such runners are looked at closely.
+fn best_holder(
+    call: &Call,
+    home: &Home,
+    candidates: &[Candidate],
+    beliefs: &Beliefs,
+) -> Option<usize> {
+    let end = (home.index + PROBED_BLOCKS).min(call.blocks.len());
+    let probe = &call.blocks[home.index..end];
     let held = |index: usize| {
-        let belief = beliefs.of(&candidates[index].name);
-        belief.map_or(0, |belief| belief.cached_blocks(&call.blocks))
+        let belief = beliefs.of(&candidates[index].name)?;
+        let holds_some = belief.cached_blocks(probe) > 0;
+        holds_some.then(|| (belief.cached_blocks(&call.blocks), index))
     };
-    let holders = (0..candidates.len()).map(|index| (held(index), index));
-    holders.filter(|(blocks, _)| *blocks > 0).max().map(|(_, index)| index)
+    let probes_all = candidates.len() <= PROBED_RUNNERS;
+    let probed = (0..candidates.len()).filter(|index| probes_all || candidates[*index].near);
+    probed.filter_map(held).max().map(|(_, index)| index)
 }
 
 fn least<'a>(
