--- a/crates/fl-node/src/run.rs
+++ b/crates/fl-node/src/run.rs
@@ -6,8 +6,8 @@
 use crate::readiness::{READINESS, Readiness};
 use crate::streams::{self, Streams};
 use crate::{
-    admin, admission, configuration, directory, event_log, fleet, interim, lease, ledger, logging,
-    membership, routing,
+    admin, admission, configuration, directory, event_log, fleet, lease, ledger, logging,
+    membership, quarantine, routing,
 };
 use fl_config::Settings;
 use fl_kernel::clock::unix_ms;
@@ -80,7 +80,6 @@
     logging::start(context)?;
     admin::install_metrics(context)?;
     event_log::start(context)?;
-    interim::start(context)?;
     admission::start(context)?;
     membership::start(context).await?;
     configuration::start(context)?;
@@ -89,6 +88,7 @@
     fleet::start(context)?;
     routing::start(context)?;
     ledger::start(context)?;
+    quarantine::start(context)?;
     let streams = streams::start(context)?;
     streams::start_peers(context, streams.clone())?;
     streams.watch()?;
