--- a/crates/fl-node/src/streams/drive.rs
+++ b/crates/fl-node/src/streams/drive.rs
@@ -103,6 +103,8 @@
         let fingerprint = request.record().fingerprint;
         if links.quarantine.verdict(fingerprint) == Verdict::Quarantined {
             fail(request, Problem::Quarantined);
+            let detail = "its content is quarantined".to_string();
+            links.events.record(EventKind::GivenUp, Some(request.id), detail);
             return None;
         }
         // A runner that failed this request is better than none once the others are full.
@@ -158,7 +160,9 @@
         base_offset: request.next_offset(),
     };
     request.begin_attempt(place.clone());
-    links.admission.count_first_try(&place.runner);
+    if attempt == 1 {
+        links.admission.count_first_try(&place.runner);
+    }
     Ok(place)
 }
 
