--- a/scripts/measure-routing.py
+++ b/scripts/measure-routing.py
@@ -2,7 +2,7 @@
 """Measures the routing policies side by side, each run on fresh stand-ins and nodes.
 
     scripts/measure-routing.py target/release RESULTS --seeds 1 2 3
-    filbertctl experiment --results RESULTS --out docs/measurements/routing
+    filbertctl experiment --results RESULTS --out docs/measurements/load
 
 Every run writes one JSON file into RESULTS; a run whose file exists is skipped, so that an
 interrupted measurement can go on.
