Prove that a cut-off data centre serves, and that nothing is double after healing

Cause: bookings, streams and model calls were proved under kills and outages, not under cuts between data centres. Change: tests/cuts.rs, ten cases: model calls in a data centre cut from the others, from the platform and from all, before and after the cut is noticed; a booking there refused as not run with Retry-After; a stream whose owner is cut off, ended through another data centre and read whole at every node after healing; a cut in the middle of a booking. Limit: engines do not tell by whom they are called, so a cut of a data centre's engines silences them for every node.

--- /dev/null
+++ b/tests/cuts.rs
@@ -0,0 +1,203 @@
+//! A data centre that is cut off goes on serving, and nothing it did is double after healing.
+//!
+//! A cut loses everything without a word; see `fl_testbed::network`. Engines do not tell by whom
+//! they are called, so cutting the engines of a data centre silences them for every node.
+
+#![allow(clippy::expect_used)]
+
+use fl_platform::http::Reply;
+use fl_platform::{HttpClient, Reuse};
+use fl_protocol::chat::FIRST_TRY_HEADER;
+use fl_protocol::event::EventKind;
+use fl_protocol::{ProblemBody, WhatWasDone, request_id_of_key, request_id_text};
+use fl_standins::{EngineOptions, PlainServiceFaults};
+use fl_testbed::caller::{chat, expected_answer, request};
+use fl_testbed::{CallerEvent, PLATFORM, Testbed, TestbedOptions, until};
+use http::Method;
+use http_body_util::Full;
+use rstest::rstest;
+use std::time::Duration;
+
+const KEY: &str = "booking-1";
+const CUT: &str = "dc-a";
+const OTHERS: [&str; 2] = ["dc-b", "dc-c"];
+/// The nodes of the data centre that is cut off, and the rest.
+const INSIDE: [usize; 2] = [0, 3];
+const OUTSIDE: [usize; 4] = [1, 2, 4, 5];
+const TOKENS: u64 = 200;
+const TOKENS_BEFORE: usize = 20;
+const PROMPT: &str = "a long plan for a group of eleven guests with boots of every size";
+const TIMEOUT: Duration = Duration::from_secs(30);
+/// Where engines are called from: anywhere.
+const ANYWHERE: &str = "";
+
+async fn start() -> Testbed {
+    let mut options = TestbedOptions::new(env!("CARGO_BIN_EXE_filbertlead"))
+        .setting("membership", "heartbeat_ms = 200")
+        .setting("membership", "suspicion_ms = 600");
+    options.relay_backends = true;
+    options.engine = EngineOptions { between_tokens_ms: 15, ..options.engine };
+    Testbed::start(options).await
+}
+
+fn cut_off(bed: &Testbed, from: &[&str]) {
+    from.iter().for_each(|place| bed.network.cut(CUT, place));
+}
+
+fn silence_engines(bed: &Testbed, places: &[&str]) {
+    places.iter().for_each(|place| bed.network.cut(ANYWHERE, place));
+}
+
+#[rstest]
+#[case::others(&["dc-b", "dc-c"], &["dc-b", "dc-c"])]
+#[case::platform(&[PLATFORM], &[])]
+#[case::all(&["dc-b", "dc-c", PLATFORM], &["dc-b", "dc-c"])]
+#[tokio::test]
+async fn serves_alone(#[case] from: &[&str], #[case] silent: &[&str]) {
+    let bed = start().await;
+    cut_off(&bed, from);
+    silence_engines(&bed, silent);
+    serve(&bed, "before it is noticed").await;
+    for node in INSIDE {
+        until("the cut is noticed", async || notices(&bed, node, from).await).await;
+    }
+    serve(&bed, "after it was noticed").await;
+}
+
+async fn serve(bed: &Testbed, round: &str) {
+    for node in INSIDE {
+        let prompt = format!("which boot fits guest {node} {round}");
+        let stream = bed.open(node, &chat(&prompt, 20), "counter", None).await;
+        let outcome = bed.finish(stream.expect("refused"), &INSIDE).await;
+        assert!(outcome.whole, "{round}: {outcome:?}");
+        assert_eq!(outcome.text, expected_answer(&prompt, 20), "{round}");
+    }
+}
+
+/// Whether a node knows of the cuts, by each of its ways to the platform.
+async fn notices(bed: &Testbed, node: usize, from: &[&str]) -> bool {
+    let events = bed.events(node).await;
+    let seen = |kind: EventKind, is_meant: &dyn Fn(&str) -> bool| {
+        events.iter().any(|event| event.kind == kind && is_meant(&event.detail))
+    };
+    from.iter().all(|place| match *place {
+        PLATFORM => {
+            seen(EventKind::PlatformChanged, &|detail| detail.starts_with("VM list out of reach"))
+                && seen(EventKind::PlatformChanged, &|detail| !detail.starts_with("VM list"))
+        }
+        _ => seen(EventKind::MemberChanged, &|detail| detail.ends_with("to CutOff")),
+    })
+}
+
+#[tokio::test]
+async fn booking_refused() {
+    let bed = start().await;
+    cut_off(&bed, &[OTHERS[0], OTHERS[1], PLATFORM]);
+    let reply = book(&bed, 0, true).await.expect("a reply");
+    let problem: ProblemBody = serde_json::from_slice(&reply.body).expect("a problem");
+    assert_eq!((reply.status.as_u16(), problem.what_was_done), (503, WhatWasDone::NotRun));
+    assert!(reply.headers.contains_key("retry-after"));
+    assert_eq!(runs(&bed), 0);
+    bed.network.heal();
+    until("a later try runs", async || is_booked(book(&bed, 0, false).await)).await;
+    assert_eq!(runs(&bed), 1);
+}
+
+#[rstest]
+#[case::engines_reached(&[])]
+#[case::engines_cut(&["dc-a"])]
+#[tokio::test]
+async fn stream_in_flight(#[case] silent: &[&str]) {
+    let bed = start().await;
+    let opened = bed.open(0, &chat(PROMPT, TOKENS), "plan", None).await;
+    let mut stream = opened.expect("refused");
+    let mut text = String::new();
+    for _ in 0..TOKENS_BEFORE {
+        if let CallerEvent::Token { text: token, .. } = stream.next().await {
+            text.push_str(&token);
+        }
+    }
+    let (id, last) = (stream.request_id.clone(), stream.last_event_id.clone());
+    cut_off(&bed, &[OTHERS[0], OTHERS[1], PLATFORM]);
+    silence_engines(&bed, silent);
+    // The caller loses its node and comes back through another data centre.
+    drop(stream);
+    let mut reopened = None;
+    until("the caller is back", async || {
+        reopened = bed.reopen(1, &id, last.as_deref()).await.ok();
+        reopened.is_some()
+    })
+    .await;
+    let outcome = bed.finish(reopened.take().expect("a stream"), &OUTSIDE).await;
+    let whole = if outcome.restarts == 0 { text + &outcome.text } else { outcome.text.clone() };
+    assert!(outcome.whole, "{outcome:?}");
+    assert_eq!(whole, expected_answer(PROMPT, TOKENS));
+    bed.network.heal();
+    for node in [0, 1, 2, 3, 4, 5] {
+        let again = bed.reopen(node, &id, None).await.expect("known after healing");
+        let again = bed.finish(again, &[node]).await;
+        assert!(again.whole, "node {node}: {again:?}");
+        assert_eq!(again.text, expected_answer(PROMPT, TOKENS), "node {node}");
+    }
+    until("no engine goes on", async || {
+        bed.engines.iter().all(|engine| engine.load_now().running == 0)
+    })
+    .await;
+    let taken = bed.last_event(EventKind::TakenOver, &id).await.expect("a new owner");
+    assert!(OUTSIDE.contains(&bed.node_index(&taken.vm)));
+}
+
+#[rstest]
+#[case::before_run(PlainServiceFaults { delay_before_effect_ms: 700, ..Default::default() })]
+#[case::after_run(PlainServiceFaults { delay_after_effect_ms: 700, ..Default::default() })]
+#[tokio::test]
+async fn booking_cut(
+    #[case] slow: PlainServiceFaults,
+    #[values(&["platform"], &["dc-b", "dc-c", "platform"])] from: &[&str],
+) {
+    let bed = start().await;
+    bed.applications.iter().for_each(|server| server.set_faults(slow.clone()));
+    let first = tokio::spawn(book(&bed, 0, true));
+    until("the claim", async || !bed.table.rows("calls").is_empty()).await;
+    cut_off(&bed, from);
+    let others =
+        tokio::spawn(futures::future::join_all(OUTSIDE.map(|node| book(&bed, node, false))));
+    let mut replies = others.await.expect("the tries ended");
+    let during = runs(&bed);
+    assert!(during <= 1, "{replies:?}");
+    bed.network.heal();
+    replies.push(first.await.expect("the first try ended"));
+    let not_run = replies.iter().flatten().any(|reply| done(reply) == Some(WhatWasDone::NotRun));
+    assert!(!not_run || runs(&bed) == 0, "not run was contradicted: {replies:?}");
+    replies.push(book(&bed, 4, false).await);
+    let total = runs(&bed);
+    assert!(total <= 1, "ran {total} times: {replies:?}");
+    assert!(!replies.into_iter().any(is_booked) || total == 1, "an answer without a run");
+}
+
+fn done(reply: &Reply) -> Option<WhatWasDone> {
+    let problem: Option<ProblemBody> = serde_json::from_slice(&reply.body).ok();
+    problem.map(|problem| problem.what_was_done)
+}
+
+fn is_booked(reply: Option<Reply>) -> bool {
+    reply.is_some_and(|reply| reply.status == 201)
+}
+
+fn runs(bed: &Testbed) -> u64 {
+    let id = request_id_text(request_id_of_key(fl_testbed::WORKSPACE, KEY));
+    bed.applications.iter().map(|server| server.runs_of(&id)).sum()
+}
+
+fn book(
+    bed: &Testbed,
+    node: usize,
+    first_try: bool,
+) -> impl Future<Output = Option<Reply>> + use<> {
+    let path = "/v1/services/bookings/bookings";
+    let builder = request(Method::POST, bed.nodes[node].callers, path)
+        .header("idempotency-key", KEY)
+        .header(FIRST_TRY_HEADER, first_try.to_string());
+    let built = builder.body(Full::new("{\"room\":\"crypt\"}".into())).expect("a request");
+    async move { HttpClient::new(Reuse::Never).fetch(built, TIMEOUT).await.ok() }
+}
