Merge the sorted runs of a belief in place of sorting all its blocks

Cause: processor time a request grew with the requests before it: 1.41, 2.47 and 2.81 ms for the first, second and third thousand. A profile showed 36% in quicksort, called by Belief::expect, which sorted up to 65,536 blocks anew for each request that was sent. Ruled out: the store of requests and the log of events (below 1% each). Change: new blocks are sorted alone and a stable sort merges the two runs.

--- a/crates/fl-routing/src/belief.rs
+++ b/crates/fl-routing/src/belief.rs
@@ -76,8 +76,11 @@
         if self.blocks.len() + added.len() > BLOCKS_LIMIT {
             self.blocks.clear();
         }
+        added.sort_unstable();
         self.blocks.append(&mut added);
-        self.blocks.sort_unstable();
+        // The stable sort merges the two sorted runs in one pass; an unstable one would sort all
+        // blocks anew with each request.
+        self.blocks.sort();
         self.blocks.dedup();
     }
 
