--- a/crates/fl-node/src/lib.rs
+++ b/crates/fl-node/src/lib.rs
@@ -4,18 +4,19 @@
 //! `docs/design/010-packages.md`.
 
 pub mod admin;
+pub mod admission;
 pub mod configuration;
 pub mod context;
 pub mod directory;
 pub mod event_log;
 pub mod fleet;
 pub mod front;
-mod interim;
 pub mod lease;
 pub mod ledger;
 pub mod logging;
 pub mod membership;
 pub mod options;
+pub mod quarantine;
 pub mod readiness;
 pub mod routing;
 pub mod run;
--- a/crates/fl-node/src/run.rs
+++ b/crates/fl-node/src/run.rs
@@ -6,8 +6,8 @@
 use crate::readiness::{READINESS, Readiness};
 use crate::streams::{self, Streams};
 use crate::{
-    admin, configuration, directory, event_log, fleet, interim, lease, ledger, logging, membership,
-    routing,
+    admin, admission, configuration, directory, event_log, fleet, lease, ledger, logging,
+    membership, quarantine, routing,
 };
 use fl_config::Settings;
 use fl_kernel::clock::unix_ms;
@@ -80,7 +80,7 @@
     logging::start(context)?;
     admin::install_metrics(context)?;
     event_log::start(context)?;
-    interim::start(context)?;
+    admission::start(context)?;
     membership::start(context).await?;
     configuration::start(context)?;
     directory::start(context)?;
@@ -88,11 +88,13 @@
     fleet::start(context)?;
     routing::start(context)?;
     ledger::start(context)?;
+    quarantine::start(context)?;
     let streams = streams::start(context)?;
     streams::start_peers(context, streams.clone())?;
     streams.watch()?;
     front::start(context, streams.clone(), readiness).await?;
     admin::start(context)?;
+    context.spawn(event_log::announce_ready(context.clone()));
     Ok(streams)
 }
 
@@ -136,6 +138,10 @@
     }
     streams.leave(departure.deadline).await;
     ledger::drain(context, departure.deadline).await;
-    tokio::time::sleep(LAST_WORDS).await;
+    if let Ok(events) = context.registry.find::<dyn EventLog>(names::EVENT_LOG) {
+        events.record(EventKind::NodeStopped, None, departure.reason);
+    }
+    let handing_over = tokio::time::timeout(LAST_WORDS, event_log::hand_over(context));
+    let _ = tokio::join!(handing_over, tokio::time::sleep(LAST_WORDS));
     node.finish().await;
 }
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -7,7 +7,9 @@
 import json
 import pathlib
 import random
+import signal
 import subprocess
+import sys
 import time
 
 CALLERS_PORT = 8080
@@ -73,6 +75,9 @@
         })
 
     def __enter__(self):
+        # A script that is told to end still ends what it started.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: sys.exit("told to end"))
         try:
             self._start()
         except BaseException:
@@ -160,9 +165,11 @@
 
     def push(self, configuration):
         """Puts a configuration in force with `filbertctl push`."""
+        for admin in self.admins():
+            self._wait_for(lambda: self._answers(admin, "/healthz"), f"the node at {admin}")
         path = self.directory / "configuration.ini"
         path.write_text(configuration)
-        command = [self.binaries / "filbertctl", "push", path, "--table", self.table,
+        command = [self.binaries / "filbertctl", "push", path, "--wait", "--table", self.table,
                    "--objects", self.objects]
         for admin in self.admins():
             command += ["--admin", admin]
