Never say not run at the door for a key that may have run

Cause: a booking that ran under a key and was sent again was refused at the door (wrong key, unknown class, not ready) with not-run, which is contradicted by the run before. Change: refusals that do not come from the ledger say unknown for a call of a plain service with an idempotency key, unless its caller vouches that it is the first try. Proof: tests/door.rs failed first (left NotRun, right Unknown) and passes.

--- a/crates/fl-node/src/front.rs
+++ b/crates/fl-node/src/front.rs
@@ -15,9 +15,9 @@
 use bytes::Bytes;
 use fl_kernel::RegistryError;
 use fl_kernel::services::EventLog;
-use fl_protocol::Problem;
 use fl_protocol::chat::{CHAT_PATH, REQUESTS_PATH, SERVICES_PATH};
 use fl_protocol::event::EventKind;
+use fl_protocol::{Problem, WhatWasDone};
 use http::{Method, Request, Response, header};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
@@ -99,13 +99,18 @@
 }
 
 async fn answer(front: Arc<Front>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let may_have_run = services::may_have_run(&request);
     match route(&front, request).await {
         Ok(response) => response,
         Err(refusal) => {
             let kind = refusal.problem.kind();
             metrics::counter!("fl_requests_refused_total", "kind" => kind).increment(1);
             front.events.record(EventKind::Refused, refusal.id, kind.to_string());
-            reply::problem(&refusal.problem, refusal.id)
+            let mut body = refusal.problem.body(refusal.id);
+            if may_have_run && !refusal.by_ledger {
+                body.what_was_done = WhatWasDone::Unknown;
+            }
+            reply::problem_body(&body, refusal.id)
         }
     }
 }
@@ -116,11 +121,20 @@
     pub problem: Problem,
     /// The request, once it has an id.
     pub id: Option<fl_protocol::RequestId>,
+    /// Whether the ledger said so, which knows of earlier tries; the door does not.
+    pub by_ledger: bool,
+}
+
+impl Refusal {
+    /// A refusal at the door of a request with an id.
+    pub fn of(problem: Problem, id: fl_protocol::RequestId) -> Self {
+        Refusal { problem, id: Some(id), by_ledger: false }
+    }
 }
 
 impl From<Problem> for Refusal {
     fn from(problem: Problem) -> Self {
-        Refusal { problem, id: None }
+        Refusal { problem, id: None, by_ledger: false }
     }
 }
 
--- a/crates/fl-node/src/front/chat.rs
+++ b/crates/fl-node/src/front/chat.rs
@@ -35,7 +35,7 @@
     let streamed = chat.stream;
     let reader = accept(front, caller, id, key.is_some(), body_json, chat)
         .await
-        .map_err(|problem| Refusal { problem, id: Some(id) })?;
+        .map_err(|problem| Refusal::of(problem, id))?;
     if streamed { Ok(events::stream(reader, id)) } else { Ok(collect(reader, id).await) }
 }
 
--- a/crates/fl-node/src/front/reply.rs
+++ b/crates/fl-node/src/front/reply.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use fl_protocol::chat::REQUEST_ID_HEADER;
-use fl_protocol::{Problem, RequestId, request_id_text};
+use fl_protocol::{Problem, ProblemBody, RequestId, request_id_text};
 use http::{HeaderName, HeaderValue, Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt as _, Full};
@@ -37,9 +37,13 @@
 
 /// The answer to a call that is not served.
 pub fn problem(problem: &Problem, id: Option<RequestId>) -> Response<ReplyBody> {
-    let body = problem.body(id);
+    problem_body(&problem.body(id), id)
+}
+
+/// The answer that carries a problem body.
+pub fn problem_body(body: &ProblemBody, id: Option<RequestId>) -> Response<ReplyBody> {
     let status = StatusCode::from_u16(body.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let json = crate::streams::to_json(&body);
+    let json = crate::streams::to_json(body);
     let mut response = respond(status, "application/problem+json", id, full(json));
     if let Some(seconds) = body.retry_after_s {
         response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
--- a/crates/fl-node/src/front/requests.rs
+++ b/crates/fl-node/src/front/requests.rs
@@ -19,7 +19,7 @@
 ) -> Result<Response<ReplyBody>, Refusal> {
     let id = parse_request_id(id_text)
         .ok_or_else(|| malformed("a request id has 32 hexadecimal digits"))?;
-    let refuse = |problem| Refusal { problem, id: Some(id) };
+    let refuse = |problem| Refusal::of(problem, id);
     match head.method {
         Method::GET => resume(front, caller, head, id).await.map_err(refuse),
         Method::DELETE => cancel(front, caller, id).await.map_err(refuse),
--- a/crates/fl-node/src/front/services.rs
+++ b/crates/fl-node/src/front/services.rs
@@ -9,7 +9,7 @@
 use fl_protocol::chat::{FIRST_TRY_HEADER, IDEMPOTENCY_KEY_HEADER, SERVICES_PATH};
 use fl_protocol::{Problem, RequestId, request_id_of_key};
 use http::request::Parts;
-use http::{Response, StatusCode, header};
+use http::{Request, Response, StatusCode, header};
 use reply::ReplyBody;
 use std::sync::Arc;
 
@@ -37,11 +37,20 @@
             .unwrap_or_else(|| "application/octet-stream".to_string()),
     };
     let ledger = front.registry().find::<dyn Ledger>(names::LEDGER)?;
-    let answer = ledger.call(call).await.map_err(|problem| Refusal { problem, id: Some(id) })?;
+    let by_ledger = |problem| Refusal { problem, id: Some(id), by_ledger: true };
+    let answer = ledger.call(call).await.map_err(by_ledger)?;
     let status = StatusCode::from_u16(answer.status).map_err(|_| malformed("unknown status"))?;
     Ok(reply::respond(status, &answer.content_type, Some(id), reply::full(answer.body)))
 }
 
+/// Says whether an earlier try of the same key may have run, for all that the door knows.
+pub fn may_have_run<B>(request: &Request<B>) -> bool {
+    let headers = request.headers();
+    let vouched = headers.get(FIRST_TRY_HEADER).is_some_and(|value| value == "true");
+    let has_key = headers.contains_key(IDEMPOTENCY_KEY_HEADER);
+    request.uri().path().starts_with(SERVICES_PATH) && has_key && !vouched
+}
+
 fn is_first_try(head: &Parts) -> Result<bool, Problem> {
     Ok(auth::text(&head.headers, FIRST_TRY_HEADER)?.is_some_and(|value| value == "true"))
 }
--- /dev/null
+++ b/tests/door.rs
@@ -0,0 +1,48 @@
+//! A refusal at the door never contradicts a call that ran under an earlier try of the same key.
+
+#![allow(clippy::expect_used)]
+
+use bytes::Bytes;
+use fl_platform::{HttpClient, Reuse};
+use fl_protocol::{ProblemBody, WhatWasDone};
+use fl_testbed::caller::request;
+use fl_testbed::{Testbed, TestbedOptions};
+use http::{HeaderName, HeaderValue, Method, StatusCode};
+use http_body_util::Full;
+use std::time::Duration;
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+const PATH: &str = "/v1/services/bookings/bookings";
+const KEY: &str = "group-7";
+
+#[tokio::test]
+async fn sent_again() {
+    let mut options = TestbedOptions::new(env!("CARGO_BIN_EXE_filbertlead"));
+    options.data_centers = 2;
+    options.nodes = 2;
+    let bed = Testbed::start(options).await;
+    let booked = bed.call_service(0, Method::POST, "bookings/bookings", Some(KEY), "{}").await;
+    assert_eq!(booked.expect("a reply").status, StatusCode::CREATED);
+    let spoiled =
+        [("authorization", "Bearer other"), ("x-class", "royal"), ("x-workspace", "none")];
+    for (name, value) in spoiled {
+        let again = refused(&bed, &[("idempotency-key", KEY), (name, value)]).await;
+        assert_eq!(again.what_was_done, WhatWasDone::Unknown, "{again:?}");
+        let vouched = [("idempotency-key", "group-8"), (name, value), ("x-first-try", "true")];
+        let first = refused(&bed, &vouched).await;
+        assert_eq!(first.what_was_done, WhatWasDone::NotRun, "{first:?}");
+        let keyless = refused(&bed, &[(name, value)]).await;
+        assert_eq!(keyless.what_was_done, WhatWasDone::NotRun, "{keyless:?}");
+    }
+}
+
+async fn refused(bed: &Testbed, headers: &[(&'static str, &'static str)]) -> ProblemBody {
+    let call = request(Method::POST, bed.nodes[1].callers, PATH);
+    let mut call = call.body(Full::new(Bytes::from("{}"))).expect("a request");
+    for (name, value) in headers {
+        let name = HeaderName::from_static(name);
+        call.headers_mut().insert(name, HeaderValue::from_static(value));
+    }
+    let reply = HttpClient::new(Reuse::Never).fetch(call, TIMEOUT).await.expect("a reply");
+    serde_json::from_slice(&reply.body).expect("a problem body")
+}
