Prove resume, the copy at the notice and the hand-over by themselves

Change: nothing_again (owner killed, paused, reclaimed; connection silent) counts what the engines computed; text_kept loses owner and engine after a notice and checks that the copied text is prefilled, not generated from the beginning; the shutdown test asks for the hand-over of each moved stream. Conclusion: no fault of the product was found; each mechanism has a case of its own.

--- a/tests/reclaim.rs
+++ b/tests/reclaim.rs
@@ -5,16 +5,19 @@
 
 #![allow(clippy::expect_used)]
 
+use fl_protocol::chat::count_tokens;
 use fl_protocol::event::EventKind;
 use fl_standins::EngineOptions;
 use fl_testbed::caller::{chat, expected_answer};
-use fl_testbed::{CallerEvent, Testbed, TestbedOptions, until};
+use fl_testbed::{CallerEvent, ChatStream, Testbed, TestbedOptions, until};
 use rstest::rstest;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 const TOKENS: u64 = 400;
 /// Tokens that the caller holds before a fault.
 const TOKENS_BEFORE: usize = 20;
+/// Tokens that the caller reads after a notice, while the copy of the text travels.
+const TOKENS_AFTER_NOTICE: usize = 100;
 const NOTICE: Duration = Duration::from_millis(3_000);
 const PROMPT: &str = "a long plan for a group of eleven guests with boots of every size";
 
@@ -75,21 +78,70 @@
     completes(faults).await;
 }
 
-async fn completes(faults: &[Fault]) {
+/// Losing the node alone, or its connection, makes no engine compute anything a second time.
+#[rstest]
+#[case::kill_owner(KillOwner)]
+#[case::pause_owner(PauseOwner)]
+#[case::reclaim_owner(ReclaimOwner)]
+#[case::silence_engine(SilenceEngine)]
+#[tokio::test]
+async fn nothing_again(#[case] fault: Fault) {
+    let bed = completes(&[fault]).await;
+    let prompt_tokens = count_tokens(&chat(PROMPT, TOKENS).prompt_text());
+    assert_eq!(computed(&bed), (prompt_tokens, TOKENS), "{fault:?}");
+}
+
+/// The text that is copied at the notice is computed by no engine from the beginning again.
+#[tokio::test]
+async fn text_kept() {
+    let (mut bed, mut stream, mut text) = begin().await;
+    let owner = owner(&bed, &stream.request_id).await;
+    let engine = engine(&bed, &stream.request_id).await;
+    bed.nodes[owner].terminate();
+    read(&mut stream, &mut text, TOKENS_AFTER_NOTICE).await;
+    bed.engines[engine].die();
+    bed.nodes[owner].kill();
+    let outcome = bed.finish(stream, &[1, 2, 3, 4, 5]).await;
+    assert!(outcome.whole, "{outcome:?}");
+    let whole = if outcome.restarts == 0 { text + &outcome.text } else { outcome.text };
+    assert_eq!(whole, expected_answer(PROMPT, TOKENS));
+    let prompt_tokens = count_tokens(&chat(PROMPT, TOKENS).prompt_text());
+    let with_text = 2 * prompt_tokens + TOKENS_BEFORE as u64;
+    assert!(computed(&bed).0 >= with_text, "{:?}", computed(&bed));
+}
+
+/// The prompt tokens and answer tokens that all engines computed.
+fn computed(bed: &Testbed) -> (u64, u64) {
+    let counters = bed.engines.iter().map(|engine| engine.counters());
+    counters.fold((0, 0), |sum, counters| {
+        (sum.0 + counters.prefilled_tokens, sum.1 + counters.generated_tokens)
+    })
+}
+
+async fn begin() -> (Testbed, ChatStream, String) {
     let mut options = TestbedOptions::new(env!("CARGO_BIN_EXE_filbertlead"))
         .setting("membership", "heartbeat_ms = 200")
         .setting("membership", "suspicion_ms = 600");
     options.runners = 6;
     options.engine = EngineOptions { between_tokens_ms: 15, ..options.engine };
-    let mut bed = Testbed::start(options).await;
+    let bed = Testbed::start(options).await;
     let opened = bed.open(0, &chat(PROMPT, TOKENS), "plan", None).await;
     let mut stream = opened.expect("the call was refused");
     let mut text = String::new();
-    for _ in 0..TOKENS_BEFORE {
+    read(&mut stream, &mut text, TOKENS_BEFORE).await;
+    (bed, stream, text)
+}
+
+async fn read(stream: &mut ChatStream, text: &mut String, tokens: usize) {
+    for _ in 0..tokens {
         if let CallerEvent::Token { text: token, .. } = stream.next().await {
             text.push_str(&token);
         }
     }
+}
+
+async fn completes(faults: &[Fault]) -> Testbed {
+    let (mut bed, stream, text) = begin().await;
     let request_id = stream.request_id.clone();
     for fault in faults {
         apply(&mut bed, *fault, &request_id).await;
@@ -98,6 +150,7 @@
     let whole = if outcome.restarts == 0 { text + &outcome.text } else { outcome.text.clone() };
     assert!(outcome.whole, "{faults:?}: {outcome:?}");
     assert_eq!(whole, expected_answer(PROMPT, TOKENS), "{faults:?}");
+    bed
 }
 
 async fn apply(bed: &mut Testbed, fault: Fault, request_id: &str) {
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::expect_used)]
 
+use fl_protocol::event::EventKind;
 use fl_testbed::caller::{chat, expected_answer};
 use fl_testbed::{CallerEvent, Testbed, TestbedOptions};
 use rstest::rstest;
@@ -37,6 +38,9 @@
         let whole = text + &outcome.text;
         assert_eq!(whole, expected_answer(&format!("call {index}"), tokens));
         connections += outcome.connections - 1;
+        // The leaving node's last events are kept by a peer.
+        let handed = bed.last_event(EventKind::HandedOver, &outcome.request_id).await;
+        assert_eq!(handed.is_some(), moves > 0, "{index}: {handed:?}");
     }
     assert_eq!(connections, moves);
 }
