Let an answer take as long as it needs, and take silence for no death

Cause: give_up_ms bounded the whole answer, so a briefing longer than 60 s was cut although its tokens came; and a guardian dropped its copy after 90 s. Change: give_up_ms counts time without a token; copies are renewed three times a resume window, and a guardian keeps the longer text; only an engine whose VM answers that no process takes the connection is evidence against a request, and a connect that times out is told apart from one that is refused. Limit: a content that hangs engines without crashing them is not quarantined.

--- a/crates/fl-node/src/streams.rs
+++ b/crates/fl-node/src/streams.rs
@@ -159,7 +159,7 @@
             return Err(problem);
         }
         self.pursue(request.clone(), call.class);
-        guardian::place(self, &links, &request).await;
+        guardian::place(&links, &request).await;
         links.events.record(EventKind::Accepted, Some(call.id), call.workspace);
         metrics::counter!("fl_requests_accepted_total").increment(1);
         Ok(request)
--- a/crates/fl-node/src/streams/answer.rs
+++ b/crates/fl-node/src/streams/answer.rs
@@ -33,6 +33,7 @@
     state: TokenState,
     readers: u32,
     last_read_at: Instant,
+    last_token_at: Instant,
     ended_at: Option<Instant>,
     death_counted: bool,
 }
@@ -63,6 +64,7 @@
             state: TokenState::Running,
             readers: 0,
             last_read_at: Instant::now(),
+            last_token_at: Instant::now(),
             ended_at: None,
             death_counted: false,
         };
@@ -148,6 +150,7 @@
         }
         let already = (known - first_offset) as usize;
         let before = answer.tokens.len();
+        answer.last_token_at = Instant::now();
         answer.tokens.extend(tokens.into_iter().skip(already));
         let added = (answer.tokens.len() - before) as u64;
         drop(answer);
@@ -227,6 +230,11 @@
         answer.last_read_at = Instant::now();
     }
 
+    /// How long no token has come.
+    pub fn without_progress(&self) -> Duration {
+        self.answer.lock().last_token_at.elapsed()
+    }
+
     /// Says whether nobody has read for the resume window.
     pub fn is_abandoned(&self, window: Duration) -> bool {
         let answer = self.answer.lock();
--- a/crates/fl-node/src/streams/attempt.rs
+++ b/crates/fl-node/src/streams/attempt.rs
@@ -78,7 +78,7 @@
     let mut failures = 0;
     let mut reached = false;
     loop {
-        reached |= !matches!(connection, Err(EngineError::Http(HttpError::NotConnected(_))));
+        reached |= is_sign_of_life(&connection);
         let error = match connection {
             Ok(mut reader) => {
                 let before = request.next_offset();
@@ -111,8 +111,9 @@
         }
         if failures > RESUME_TRIES {
             links.directory.mark_contact(&place.runner, false);
-            // A server that was dead before the request came is no evidence against it.
-            if reached {
+            // A server that was dead before the request came is no evidence against it, and neither
+            // is one that nothing is heard of: it may be cut off.
+            if reached && is_sign_of_death(&error) {
                 report_death(streams, links, place, &error);
             }
             return AttemptEnd::Lost(error.to_string());
@@ -127,6 +128,22 @@
     }
 }
 
+/// Says whether the engine took the connection, whatever it answered.
+fn is_sign_of_life(connection: &Result<TokenReader, EngineError>) -> bool {
+    match connection {
+        Err(EngineError::Http(HttpError::TimedOut(..))) => false,
+        Err(EngineError::Http(error)) => !error.nothing_was_sent(),
+        _ => true,
+    }
+}
+
+/// Says whether the engine's VM answered that no process takes the connection.
+fn is_sign_of_death(error: &EngineError) -> bool {
+    let broken =
+        |error: &HttpError| matches!(error, HttpError::NotConnected(_) | HttpError::Broken(..));
+    matches!(error, EngineError::Cut) || matches!(error, EngineError::Http(error) if broken(error))
+}
+
 async fn open(
     streams: &Arc<Streams>,
     links: &Links,
--- a/crates/fl-node/src/streams/drive.rs
+++ b/crates/fl-node/src/streams/drive.rs
@@ -2,7 +2,6 @@
 
 use super::attempt::{self, AttemptEnd};
 use super::{Links, OwnedRequest, Streams, guardian, to_json};
-use fl_kernel::clock::unix_ms;
 use fl_kernel::services::{RouteQuery, TokenState, Verdict, stream_id};
 use fl_protocol::engine::block_hashes;
 use fl_protocol::event::EventKind;
@@ -29,10 +28,9 @@
 /// Pursues a request until its answer is whole or given up.
 pub async fn pursue(streams: Arc<Streams>, request: Arc<OwnedRequest>, class: CallClass) {
     let Ok(links) = streams.links() else { return };
-    let give_up = tokio::time::sleep(remaining(&streams, &request));
     tokio::select! {
         () = run_attempts(&streams, &links, &request, &class) => {}
-        () = give_up => {
+        () = stalled(&request, streams.give_up_after()) => {
             fail(&request, Problem::GivenUp { retry_after: COME_BACK_AFTER });
             links.events.record(EventKind::GivenUp, Some(request.id), class.name.clone());
         }
@@ -47,9 +45,15 @@
     request.end(TokenState::Failed(to_json(&problem.body(Some(request.id)))));
 }
 
-fn remaining(streams: &Streams, request: &OwnedRequest) -> Duration {
-    let age_ms = unix_ms().saturating_sub(request.record().accepted_at_ms);
-    streams.give_up_after().saturating_sub(Duration::from_millis(age_ms))
+/// Returns once no token has come for a while; an answer that goes on may take as long as it needs.
+async fn stalled(request: &OwnedRequest, give_up: Duration) {
+    loop {
+        let left = give_up.saturating_sub(request.without_progress());
+        if left.is_zero() {
+            return;
+        }
+        tokio::time::sleep(left).await;
+    }
 }
 
 async fn run_attempts(
@@ -61,7 +65,7 @@
     let mut excluded: Vec<VmName> = Vec::new();
     let mut tries = 0;
     loop {
-        let Some(place) = next_place(streams, links, request, class, &excluded).await else {
+        let Some(place) = next_place(links, request, class, &excluded).await else {
             return;
         };
         let end = attempt::run(streams, links, request, &place).await;
@@ -89,7 +93,6 @@
 
 /// Gives the place of the running attempt, or begins a new one, waiting for a runner.
 async fn next_place(
-    streams: &Arc<Streams>,
     links: &Links,
     request: &Arc<OwnedRequest>,
     class: &CallClass,
@@ -110,7 +113,7 @@
         // A runner that failed this request is better than none once the others are full.
         let avoided = if tries % 2 == 0 { excluded } else { &[] };
         if let Ok(place) = choose_place(links, request, class, avoided) {
-            guardian::refresh(streams, links, request).await;
+            guardian::refresh(links, request).await;
             return Some(place);
         }
         tokio::time::sleep(back_off(tries)).await;
--- a/crates/fl-node/src/streams/guardian.rs
+++ b/crates/fl-node/src/streams/guardian.rs
@@ -22,7 +22,7 @@
 }
 
 /// Places the copy of a new request, or of one whose guardian was lost.
-pub async fn place(streams: &Streams, links: &Links, request: &OwnedRequest) {
+pub async fn place(links: &Links, request: &OwnedRequest) {
     let own = links.membership.self_member();
     let able = candidates(links.membership.members(), &own, request.id);
     for member in able.iter().take(GUARDIAN_TRIES) {
@@ -46,19 +46,19 @@
     request.update_record(|record| record.guardian = VmName::new());
     metrics::counter!("fl_requests_without_guardian_total").increment(1);
     links.events.record(EventKind::GuardianLocal, Some(request.id), "no peer".to_string());
-    let _ = streams;
 }
 
-/// Brings the guardian's copy up to date after a change of the record.
-pub async fn refresh(streams: &Streams, links: &Links, request: &OwnedRequest) {
+/// Brings the guardian's copy up to date, after a change of the record and now and then, so that the
+/// guardian keeps it for as long as the answer takes.
+pub async fn refresh(links: &Links, request: &OwnedRequest) {
     let record = request.record();
     let Some(guardian) = find_member(links, &record.guardian) else {
-        place(streams, links, request).await;
+        place(links, request).await;
         return;
     };
     let tokens = known_text(request);
     if links.peers.hand_over(&guardian, &record, &tokens).await.is_err() {
-        place(streams, links, request).await;
+        place(links, request).await;
     }
 }
 
@@ -106,7 +106,7 @@
         let able =
             members.iter().any(|member| member.vm == guardian && member.state.takes_new_work());
         if request.is_running() && !able {
-            place(streams, links, &request).await;
+            place(links, &request).await;
         }
     }
 }
@@ -169,21 +169,24 @@
         let links = links.clone();
         let carried = request.clone();
         self.context.spawn(async move {
-            place(&streams, &links, &carried).await;
+            place(&links, &carried).await;
             drive::pursue(streams, carried, class).await;
         });
         Some(request)
     }
 
-    /// Keeps a record as its guardian, unless a later one is known.
+    /// Keeps a record as its guardian, unless a later one is known; keeps the longer text.
     pub fn guard(&self, handed: HandedRequest) {
-        let id = handed.record.id;
-        let newer =
-            self.guarded.get(id).is_some_and(|kept| kept.record.epoch > handed.record.epoch);
-        if !newer {
-            let since = std::time::Instant::now();
-            let guarded = Guarded { record: handed.record, tokens: handed.tokens, since };
-            self.guarded.put(id, guarded);
+        let HandedRequest { record, mut tokens } = handed;
+        let id = record.id;
+        if let Some(kept) = self.guarded.get(id) {
+            if kept.record.epoch > record.epoch {
+                return;
+            }
+            if kept.record.epoch == record.epoch && kept.tokens.len() > tokens.len() {
+                tokens = kept.tokens;
+            }
         }
+        self.guarded.put(id, Guarded { record, tokens, since: std::time::Instant::now() });
     }
 }
--- a/crates/fl-node/src/streams/reaper.rs
+++ b/crates/fl-node/src/streams/reaper.rs
@@ -5,14 +5,18 @@
 use fl_protocol::Problem;
 use fl_protocol::event::EventKind;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const PERIOD: Duration = Duration::from_millis(500);
+/// Parts of the resume window after which a guardian's copy is renewed, so that one lost message
+/// does not let it expire.
+const RENEWALS_PER_WINDOW: u32 = 3;
 
 /// Runs until the node ends.
 pub async fn reap(streams: Arc<Streams>, links: Arc<Links>) {
     let cancel = streams.context.cancel.clone();
     let mut ticks = tokio::time::interval(PERIOD);
+    let mut renewed_at = Instant::now();
     loop {
         tokio::select! {
             () = cancel.cancelled() => return,
@@ -24,6 +28,10 @@
                 abandon(&streams, &links, &request).await;
             }
         }
+        if renewed_at.elapsed() >= window / RENEWALS_PER_WINDOW {
+            renewed_at = Instant::now();
+            renew_copies(&streams, &links).await;
+        }
         streams.owned.retain(|request| !request.is_expired(window));
         let kept_for = window + streams.give_up_after();
         streams.guarded.retain(|guarded: &Guarded| guarded.since.elapsed() <= kept_for);
@@ -32,6 +40,14 @@
     }
 }
 
+async fn renew_copies(streams: &Streams, links: &Links) {
+    for request in streams.owned.all() {
+        if request.is_running() {
+            guardian::refresh(links, &request).await;
+        }
+    }
+}
+
 /// Frees the slot of a request that nobody reads, unless another node carries it on.
 ///
 /// A node that was paused finds its callers gone; the stream then belongs to the new owner.
--- a/crates/fl-platform/src/http.rs
+++ b/crates/fl-platform/src/http.rs
@@ -22,6 +22,8 @@
 pub enum HttpError {
     /// {0} refused the connection, so nothing was sent; check the address and whether it runs
     NotConnected(String),
+    /// {0} did not take the connection in time, so nothing was sent; check the network to it
+    ConnectTimedOut(String),
     /// {0} did not answer within {1:?}; the call may have taken effect
     TimedOut(String, Duration),
     /// the connection to {0} broke: {1}; the call may have taken effect
@@ -35,7 +37,7 @@
 impl HttpError {
     /// Says whether it is certain that no byte of the call left.
     pub fn nothing_was_sent(&self) -> bool {
-        matches!(self, HttpError::NotConnected(_))
+        matches!(self, HttpError::NotConnected(_) | HttpError::ConnectTimedOut(_))
     }
 }
 
@@ -94,6 +96,9 @@
         let answer = tokio::time::timeout(timeout, self.client.request(request)).await;
         match answer {
             Err(_) => Err(HttpError::TimedOut(place, timeout)),
+            Ok(Err(error)) if error.is_connect() && is_timeout(&error) => {
+                Err(HttpError::ConnectTimedOut(place))
+            }
             Ok(Err(error)) if error.is_connect() => Err(HttpError::NotConnected(place)),
             Ok(Err(error)) => Err(HttpError::Broken(place, error.to_string())),
             Ok(Ok(response)) => Ok(response),
@@ -147,6 +152,19 @@
     }
 }
 
+/// Says whether a time ran out somewhere below an error.
+fn is_timeout(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(error) = cause {
+        let io_error = error.downcast_ref::<std::io::Error>();
+        if io_error.is_some_and(|error| error.kind() == std::io::ErrorKind::TimedOut) {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
+
 /// Builds a call with a JSON body.
 pub fn build(method: Method, uri: &str, body: Bytes) -> Result<Request<Full<Bytes>>, HttpError> {
     Request::builder()
--- a/crates/fl-platform/src/table.rs
+++ b/crates/fl-platform/src/table.rs
@@ -46,7 +46,7 @@
 pub fn is_refusal(error: &HttpError) -> bool {
     const TOO_MANY_REQUESTS: u16 = 429;
     match error {
-        HttpError::NotConnected(_) => true,
+        HttpError::NotConnected(_) | HttpError::ConnectTimedOut(_) => true,
         HttpError::Status(_, status, _) => *status == TOO_MANY_REQUESTS,
         _ => false,
     }
--- /dev/null
+++ b/tests/long_answer.rs
@@ -0,0 +1,41 @@
+//! An answer may take longer than any of the times that bound a request without progress.
+
+#![allow(clippy::expect_used)]
+
+use fl_protocol::event::EventKind;
+use fl_testbed::caller::{chat, expected_answer};
+use fl_testbed::{Testbed, TestbedOptions};
+
+const TOKENS: u64 = 500;
+
+fn options() -> TestbedOptions {
+    TestbedOptions::new(env!("CARGO_BIN_EXE_filbertlead"))
+        .setting("limits", "first_token_timeout_ms = 1000")
+        .setting("limits", "give_up_ms = 2000")
+        .setting("limits", "resume_window_ms = 1000")
+}
+
+#[tokio::test]
+async fn not_given_up() {
+    let bed = Testbed::start(options()).await;
+    let stream = bed.open(0, &chat("a long briefing", TOKENS), "plan", None).await;
+    let outcome = bed.finish(stream.expect("the call was refused"), &[1]).await;
+    assert!(outcome.whole, "{:?}", outcome.problem_json);
+    assert_eq!(outcome.text, expected_answer("a long briefing", TOKENS));
+}
+
+/// The guardian keeps its copy for as long as the answer takes.
+#[tokio::test]
+async fn still_guarded() {
+    let mut bed = Testbed::start(options()).await;
+    let stream = bed.open(0, &chat("a longer one", TOKENS), "plan", None).await;
+    let mut stream = stream.expect("the call was refused");
+    for _ in 0..TOKENS * 3 / 4 {
+        stream.next().await;
+    }
+    bed.nodes[0].kill();
+    let id = stream.request_id.clone();
+    let outcome = bed.finish(stream, &[1, 2, 3, 4, 5]).await;
+    assert!(outcome.whole, "{outcome:?}");
+    assert!(bed.last_event(EventKind::TakenOver, &id).await.is_some());
+}
