--- a/crates/fl-ctl/src/commands/experiment.rs
+++ b/crates/fl-ctl/src/commands/experiment.rs
@@ -22,7 +22,7 @@
 
 /// Examples for the help.
 pub const EXAMPLES: &str = "  scripts/measure-routing.py target/release results --seeds 1 2 3
-  filbertctl experiment --results results --out docs/measurements/routing
+  filbertctl experiment --results results --out docs/measurements/load
 ";
 
 /// Reads the results and writes the report.
--- /dev/null
+++ b/crates/fl-node/src/quarantine.rs
@@ -0,0 +1,172 @@
+//! The service that judges requests that were in flight when a server died without notice.
+//!
+//! The decisions stand in `fl_routing::quarantine`; see `docs/design/045-crashing-requests.md`.
+
+use crate::context::{ServiceContext, StartError};
+use fl_kernel::clock::unix_ms;
+use fl_kernel::names;
+use fl_kernel::services::{Directory, EventLog, Membership, News, Peers, Quarantine, Verdict};
+use fl_protocol::event::EventKind;
+use fl_protocol::platform::VmKind;
+use fl_protocol::{Fingerprint, Member, MemberState, RequestId, VmName};
+use fl_routing::quarantine::{Change, Judgement, Suspicions, reserved_for_others};
+use parking_lot::Mutex;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+/// Contents kept under suspicion at most; an entry takes about 100 bytes.
+const CONTENTS: usize = 4_096;
+
+/// How long a quarantine waits for peers to know of it before callers are told.
+const TELL_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The quarantine of one node.
+pub struct NodeQuarantine {
+    /// Itself, for the tasks that tell peers.
+    this: Weak<NodeQuarantine>,
+    context: ServiceContext,
+    suspicions: Mutex<Suspicions>,
+    /// Contents whose quarantine peers are being told of.
+    untold: Mutex<Vec<Fingerprint>>,
+}
+
+/// Starts the service and registers it.
+pub fn start(context: &ServiceContext) -> Result<Arc<NodeQuarantine>, StartError> {
+    let quarantine = Arc::new_cyclic(|this: &Weak<NodeQuarantine>| NodeQuarantine {
+        this: this.clone(),
+        context: context.clone(),
+        suspicions: Mutex::new(Suspicions::new(CONTENTS)),
+        untold: Mutex::default(),
+    });
+    context.registry.register::<dyn Quarantine>(names::QUARANTINE, quarantine.clone())?;
+    Ok(quarantine)
+}
+
+impl NodeQuarantine {
+    fn is_leaving(&self, server: &VmName) -> bool {
+        let directory = self.context.registry.find::<dyn Directory>(names::DIRECTORY);
+        directory.is_ok_and(|directory| directory.leaving_at_ms(server).is_some())
+    }
+
+    /// The runners on which other nodes run their suspects.
+    fn reserved_for_others(&self) -> Vec<VmName> {
+        let registry = &self.context.registry;
+        let (Ok(membership), Ok(directory)) = (
+            registry.find::<dyn Membership>(names::MEMBERSHIP),
+            registry.find::<dyn Directory>(names::DIRECTORY),
+        ) else {
+            return Vec::new();
+        };
+        let members = membership.members().into_iter();
+        let nodes: Vec<VmName> = members
+            .filter(|member| member.state.takes_new_work())
+            .map(|member| member.vm)
+            .collect();
+        let backends = directory.backends(VmKind::Runner).into_iter();
+        let runners: Vec<VmName> = backends.map(|backend| backend.vm.name).collect();
+        reserved_for_others(&self.context.settings.node.vm, &nodes, &runners)
+    }
+
+    fn record(&self, fingerprint: Fingerprint, judgement: Judgement, source: &str) {
+        if let Ok(events) = self.context.registry.find::<dyn EventLog>(names::EVENT_LOG) {
+            let detail = format!("content={fingerprint:016x} {judgement:?} {source}");
+            events.record(EventKind::Judged, None, detail);
+        }
+    }
+
+    /// Tells every peer in one step, since the caller may send the content to any of them next.
+    fn tell(&self, changes: &[Change]) {
+        let registry = &self.context.registry;
+        let (Ok(peers), Ok(membership)) = (
+            registry.find::<dyn Peers>(names::PEERS),
+            registry.find::<dyn Membership>(names::MEMBERSHIP),
+        ) else {
+            return;
+        };
+        let judged = |change: &Change| News::Judged {
+            fingerprint: change.0,
+            quarantined: change.1 == Judgement::Quarantined,
+        };
+        let news: Vec<News> = changes.iter().map(judged).collect();
+        let own_vm = &self.context.settings.node.vm;
+        let live = |member: &Member| member.state != MemberState::Dead && member.vm != *own_vm;
+        let tells = membership.members().into_iter().filter(live).map(|member| {
+            let (peers, news) = (peers.clone(), news.clone());
+            // A peer that is not reached learns from its own servers.
+            async move { peers.tell(&member, &news).await.is_ok() }
+        });
+        let tells = futures::future::join_all(tells.collect::<Vec<_>>());
+        let Some(this) = self.this.upgrade() else {
+            return;
+        };
+        let judged: Vec<Fingerprint> = changes.iter().map(|change| change.0).collect();
+        self.untold.lock().extend(&judged);
+        self.context.spawn(async move {
+            tokio::pin!(tells);
+            let in_time = tokio::time::timeout(TELL_TIMEOUT, &mut tells).await;
+            this.untold.lock().retain(|untold| !judged.contains(untold));
+            if in_time.is_err() {
+                let _ = this.context.cancel.run_until_cancelled(tells).await;
+            }
+        });
+    }
+}
+
+impl Quarantine for NodeQuarantine {
+    fn verdict(&self, fingerprint: Fingerprint) -> Verdict {
+        match self.suspicions.lock().judgement(fingerprint, unix_ms()) {
+            Judgement::Clear => Verdict::Clear,
+            Judgement::Suspect => Verdict::Suspect,
+            // Not yet final: a caller that is told sends it to another node at once.
+            Judgement::Quarantined if self.untold.lock().contains(&fingerprint) => Verdict::Suspect,
+            Judgement::Quarantined => Verdict::Quarantined,
+        }
+    }
+
+    fn may_run(&self, fingerprint: Fingerprint, id: RequestId) -> bool {
+        self.suspicions.lock().may_run(fingerprint, id, unix_ms())
+    }
+
+    fn runs_at(&self, fingerprint: Fingerprint, runner: &VmName) {
+        self.suspicions.lock().runs_at(fingerprint, runner);
+    }
+
+    fn kept_from(&self, fingerprint: Fingerprint) -> Vec<VmName> {
+        let suspicions = self.suspicions.lock();
+        let mut kept_from = suspicions.runners_of_others(fingerprint, unix_ms());
+        if suspicions.is_fresh(fingerprint, unix_ms()) {
+            drop(suspicions);
+            kept_from.extend(self.reserved_for_others());
+        }
+        kept_from
+    }
+
+    fn server_died(&self, server: &VmName, in_flight: &[Fingerprint]) {
+        let was_leaving = self.is_leaving(server);
+        let changes = self.suspicions.lock().server_died(server, was_leaving, in_flight, unix_ms());
+        if changes.is_empty() {
+            return;
+        }
+        self.tell(&changes);
+        for (fingerprint, judgement) in changes {
+            self.record(fingerprint, judgement, server);
+        }
+    }
+
+    fn ended_well(&self, fingerprint: Fingerprint) {
+        if self.suspicions.lock().ended_well(fingerprint) {
+            self.record(fingerprint, Judgement::Clear, "ended well");
+        }
+    }
+
+    fn learn(&self, fingerprint: Fingerprint, verdict: Verdict) {
+        if verdict == Verdict::Clear {
+            return;
+        }
+        let quarantined = verdict == Verdict::Quarantined;
+        if self.suspicions.lock().learn(fingerprint, quarantined, unix_ms()) {
+            let judgement = if quarantined { Judgement::Quarantined } else { Judgement::Suspect };
+            self.record(fingerprint, judgement, "told by a peer");
+        }
+    }
+}
--- a/crates/fl-node/src/streams/drive.rs
+++ b/crates/fl-node/src/streams/drive.rs
@@ -103,6 +103,8 @@
         let fingerprint = request.record().fingerprint;
         if links.quarantine.verdict(fingerprint) == Verdict::Quarantined {
             fail(request, Problem::Quarantined);
+            let detail = "its content is quarantined".to_string();
+            links.events.record(EventKind::GivenUp, Some(request.id), detail);
             return None;
         }
         // A runner that failed this request is better than none once the others are full.
@@ -127,6 +129,14 @@
     if verdict == Verdict::Quarantined {
         return Err(Problem::Quarantined);
     }
+    if !links.quarantine.may_run(record.fingerprint, request.id) {
+        return Err(Problem::Overloaded { retry_after: COME_BACK_AFTER });
+    }
+    let mut excluded = excluded.to_vec();
+    if verdict == Verdict::Suspect {
+        excluded.extend(links.quarantine.kept_from(record.fingerprint));
+        excluded.sort();
+    }
     let query = RouteQuery {
         id: request.id,
         model: request.chat.model.clone(),
@@ -134,10 +144,13 @@
         blocks: block_hashes(&request.chat.model, &request.chat.prompt_text()),
         prompt_tokens: request.prompt_tokens + request.next_offset(),
         max_tokens: request.chat.max_tokens,
-        excluded: excluded.to_vec(),
+        excluded,
         alone: verdict == Verdict::Suspect,
     };
     let route = links.router.choose(&query)?;
+    if verdict == Verdict::Suspect {
+        links.quarantine.runs_at(record.fingerprint, &route.runner);
+    }
     let attempt = request.next_attempt();
     let place = StreamPlace {
         runner: route.runner,
@@ -147,7 +160,9 @@
         base_offset: request.next_offset(),
     };
     request.begin_attempt(place.clone());
-    links.admission.count_first_try(&place.runner);
+    if attempt == 1 {
+        links.admission.count_first_try(&place.runner);
+    }
     Ok(place)
 }
 
