Let a push wait for nodes that are being started

Change: a question without an answer is asked again until the patience is over. Proof: waits_for_node failed first (panicked at the unwrap of the push) and passes.

--- a/crates/fl-config/src/settings.rs
+++ b/crates/fl-config/src/settings.rs
@@ -96,7 +96,7 @@
     pub first_token_timeout: Duration,
     /// `between_tokens_timeout_ms`: how long an engine may stay silent between two tokens.
     pub between_tokens_timeout: Duration,
-    /// `give_up_ms`: how long an accepted request is pursued.
+    /// `give_up_ms`: how long an accepted request is pursued without a token.
     pub give_up: Duration,
     /// `resume_window_ms`: how long an answer is kept for a caller that stays away.
     pub resume_window: Duration,
--- a/crates/fl-ctl/src/commands/push.rs
+++ b/crates/fl-ctl/src/commands/push.rs
@@ -104,7 +104,15 @@
     let client = HttpClient::new(Reuse::Pooled);
     let mut printed: Vec<DataCenterName> = Vec::new();
     loop {
-        let fleet = read_fleet(&client, &arguments.admin).await?;
+        let fleet = match read_fleet(&client, &arguments.admin).await {
+            Ok(fleet) => fleet,
+            Err(error) if accepted_at.elapsed() >= patience => return Err(error),
+            // Nodes that are being started answer soon.
+            Err(_) => {
+                tokio::time::sleep(POLL).await;
+                continue;
+            }
+        };
         for data_center in newly_in_force(&fleet, version, &printed) {
             let elapsed_ms = accepted_at.elapsed().as_millis();
             println!("in force: {data_center}, version {version} after {elapsed_ms} ms");
--- a/crates/fl-ctl/tests/push.rs
+++ b/crates/fl-ctl/tests/push.rs
@@ -5,11 +5,14 @@
 use fl_ctl::commands::push::{Arguments, run};
 use fl_ctl::error::CommandError;
 use fl_platform::ConfigurationStore;
+use fl_protocol::admin::StatusPage;
 use fl_standins::{Objects, ObjectsHandle, Table, TableHandle, TableOptions};
 use gumdrop::Options;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpListener;
 
 struct Platform {
     table: TableHandle,
@@ -82,3 +85,36 @@
     assert!(matches!(refusal, CommandError::Usage(_)), "{refusal}");
     assert_eq!(platform.version().await, 0);
 }
+
+/// A node that is being started breaks off the first question; the wait goes on.
+#[tokio::test]
+async fn waits_for_node() {
+    let platform = Platform::start().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let admin = format!("--admin={}", listener.local_addr().unwrap());
+    let node = tokio::spawn(answer_second(listener));
+    platform.push(&built_on("ana", 0), &["--wait", &admin]).await.unwrap();
+    node.abort();
+}
+
+async fn answer_second(listener: TcpListener) {
+    drop(listener.accept().await.unwrap());
+    let page = StatusPage {
+        vm: "entry-1".to_string(),
+        data_center: "dc-a".to_string(),
+        now_ms: 0,
+        ready: true,
+        not_ready_reasons: Vec::new(),
+        configuration_version: 1,
+        members: Vec::new(),
+        backends: Vec::new(),
+    };
+    let body = serde_json::to_string(&page).unwrap();
+    let head = format!("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {}", body.len());
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut question = [0; 1024];
+        stream.read(&mut question).await.unwrap();
+        stream.write_all(format!("{head}\r\n\r\n{body}").as_bytes()).await.unwrap();
+    }
+}
