Check that the pages named in comments are there

Cause: comments name design notes and pages, and nothing noticed a missing one.

Change: a test looks for every docs/ path in comments of the packages' sources.

Proof: it fails until the last of these is written: 030-acceptance-and-guardian, 040-non-repeatable-calls, CAPACITY, PROOFS, measurements/README.

--- a/crates/fl-ctl/tests/pages.rs
+++ b/crates/fl-ctl/tests/pages.rs
@@ -71,6 +71,23 @@
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
+/// Pages named in comments, such as `docs/API.md`, stand at that path from the root.
+#[test]
+fn comments_resolve() {
+    let mut broken = Vec::new();
+    for source in files(&root().join("crates"), "rs") {
+        let text = fs::read_to_string(&source).unwrap();
+        let comments = text.lines().filter(|line| line.trim_start().starts_with("//"));
+        for word in comments.flat_map(|line| line.split(['`', ' ', '(', ')', ';', ','])) {
+            let page = word.trim_end_matches('.');
+            if page.starts_with("docs/") && !root().join(page).exists() {
+                broken.push(format!("{}: {page}", source.display()));
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
 /// The rows of all tables with four columns or more, without their marks.
 fn table_rows(text: &str) -> Vec<Vec<String>> {
     let rows = text.lines().filter(|line| line.starts_with("| `"));
