Look at what the scripted node reads

Cause: clippy refuses a read whose size is not looked at. Change: the test asserts that a question came.

--- a/crates/fl-ctl/tests/push.rs
+++ b/crates/fl-ctl/tests/push.rs
@@ -114,7 +114,8 @@
     loop {
         let (mut stream, _) = listener.accept().await.unwrap();
         let mut question = [0; 1024];
-        stream.read(&mut question).await.unwrap();
+        let size_bytes = stream.read(&mut question).await.unwrap();
+        assert!(size_bytes > 0);
         stream.write_all(format!("{head}\r\n\r\n{body}").as_bytes()).await.unwrap();
     }
 }
