Prove that SIGTERM cuts off no booking

Cause: the wait of a stopping node for its runs had no test. Proof: booking_in_flight failed with the ledger's wait taken out (the caller's connection broke) and passes with it: 201, run once, exit code 0, the same answer from another node.

--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -3,8 +3,10 @@
 #![allow(clippy::expect_used)]
 
 use fl_protocol::event::EventKind;
+use fl_standins::PlainServiceFaults;
 use fl_testbed::caller::{chat, expected_answer};
 use fl_testbed::{CallerEvent, Testbed, TestbedOptions};
+use http::{Method, StatusCode};
 use rstest::rstest;
 
 const CALLS: usize = 24;
@@ -59,3 +61,32 @@
     let outcome = bed.finish(long, &[1]).await;
     assert!(outcome.whole, "{outcome:?}");
 }
+
+/// A booking that runs when SIGTERM comes is answered, runs once, and is recorded for later tries.
+#[tokio::test]
+async fn booking_in_flight() {
+    let mut bed = Testbed::start(TestbedOptions::new(env!("CARGO_BIN_EXE_filbertlead"))).await;
+    for application in &bed.applications {
+        application.set_faults(PlainServiceFaults {
+            delay_after_effect_ms: 1_500,
+            ..PlainServiceFaults::default()
+        });
+    }
+    let calling = bed.call_service(0, Method::POST, "bookings/bookings", Some("g1"), "{}");
+    let stopping = async {
+        fl_testbed::until("the booking runs", async || runs(&bed) == 1).await;
+        bed.nodes[0].terminate();
+    };
+    let (reply, ()) = futures::future::join(calling, stopping).await;
+    let reply = reply.expect("a reply");
+    assert_eq!(reply.status, StatusCode::CREATED);
+    assert_eq!(bed.nodes[0].wait().await.code(), Some(0));
+    let again = bed.call_service(1, Method::POST, "bookings/bookings", Some("g1"), "{}").await;
+    assert_eq!(again.expect("a reply").body, reply.body);
+    assert_eq!(runs(&bed), 1);
+}
+
+fn runs(bed: &Testbed) -> u64 {
+    let applications = bed.applications.iter();
+    applications.flat_map(|application| application.runs()).map(|run| run.count).sum()
+}
