Name the claim's nonce in the interfaces

Cause: claim_status took a request id by its type while the ledger asks by the claim's nonce; a reader was misled. Change: the alias ClaimNonce moves to the protocol package and the interfaces name it; behaviour as before.

--- a/crates/fl-kernel/src/services.rs
+++ b/crates/fl-kernel/src/services.rs
@@ -9,8 +9,8 @@
 use fl_protocol::event::{Event, EventKind, Stamp};
 use fl_protocol::platform::{Vm, VmKind};
 use fl_protocol::{
-    AttemptNumber, BlockHash, CallClass, Configuration, Fingerprint, Member, OwnerEpoch, Problem,
-    RequestId, RequestRecord, TokenOffset, UnixMs, VmName, WorkspaceName,
+    AttemptNumber, BlockHash, CallClass, ClaimNonce, Configuration, Fingerprint, Member,
+    OwnerEpoch, Problem, RequestId, RequestRecord, TokenOffset, UnixMs, VmName, WorkspaceName,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -141,8 +141,8 @@
 pub trait Ledger: Send + Sync {
     /// Runs a call or gives its recorded answer.
     async fn call(&self, call: ServiceCall) -> Result<ServiceAnswer, Problem>;
-    /// Answers a peer that found a claim of this node; `None`: no longer known here.
-    fn claim_status(&self, id: RequestId) -> Option<ClaimStatus>;
+    /// Answers a peer that found a claim of this node; `None`: not of this life, or long ended.
+    fn claim_status(&self, nonce: ClaimNonce) -> Option<ClaimStatus>;
 }
 
 /// What the owner of a claim says of it.
@@ -237,7 +237,7 @@
     async fn claim_status(
         &self,
         to: &Member,
-        id: RequestId,
+        nonce: ClaimNonce,
     ) -> Result<Option<ClaimStatus>, PeerError>;
     /// Asks for the configuration in force at the peer if its version is above `above_version`.
     async fn fetch_configuration(
@@ -343,7 +343,7 @@
         wait: Duration,
     ) -> Option<TokenBatch>;
     /// See [`Peers::claim_status`].
-    fn claim_status(&self, id: RequestId) -> Option<ClaimStatus>;
+    fn claim_status(&self, nonce: ClaimNonce) -> Option<ClaimStatus>;
     /// See [`Peers::fetch_configuration`].
     fn configuration(&self, above_version: u64) -> Option<Configuration>;
     /// See [`Peers::tell`].
--- a/crates/fl-ledger/src/row.rs
+++ b/crates/fl-ledger/src/row.rs
@@ -8,8 +8,7 @@
 use serde_with::serde_as;
 use thiserror::Error;
 
-/// Names one claim; drawn at random, so that a lost answer can be read back.
-pub type ClaimNonce = u128;
+pub use fl_protocol::ClaimNonce;
 /// Names one life of a node's process; drawn at random when it starts.
 pub type Life = u64;
 
--- a/crates/fl-node/src/ledger.rs
+++ b/crates/fl-node/src/ledger.rs
@@ -20,7 +20,7 @@
 use fl_platform::{Reuse, ServiceClient};
 use fl_protocol::call::{ServiceAnswer, ServiceCall};
 use fl_protocol::event::EventKind;
-use fl_protocol::{PlainService, Problem, RequestId};
+use fl_protocol::{ClaimNonce, PlainService, Problem, RequestId};
 use owner::Standings;
 use runs::Runs;
 use std::sync::{Arc, Weak};
@@ -103,7 +103,7 @@
         self.run_once(call, service).await
     }
 
-    fn claim_status(&self, id: RequestId) -> Option<ClaimStatus> {
-        self.standings.status(id)
+    fn claim_status(&self, nonce: ClaimNonce) -> Option<ClaimStatus> {
+        self.standings.status(nonce)
     }
 }
--- a/crates/fl-node/src/streams/host.rs
+++ b/crates/fl-node/src/streams/host.rs
@@ -11,7 +11,9 @@
 use fl_peer::PeerOptions;
 use fl_protocol::event::{Event, EventKind, Stamp};
 use fl_protocol::platform::{Vm, VmKind};
-use fl_protocol::{Configuration, OwnerEpoch, RequestId, RequestRecord, TokenOffset, VmName};
+use fl_protocol::{
+    ClaimNonce, Configuration, OwnerEpoch, RequestId, RequestRecord, TokenOffset, VmName,
+};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -104,8 +106,8 @@
         Some(TokenBatch { tokens: part.tokens, state: part.state })
     }
 
-    fn claim_status(&self, id: RequestId) -> Option<ClaimStatus> {
-        self.find::<dyn Ledger>(names::LEDGER)?.claim_status(id)
+    fn claim_status(&self, nonce: ClaimNonce) -> Option<ClaimStatus> {
+        self.find::<dyn Ledger>(names::LEDGER)?.claim_status(nonce)
     }
 
     fn configuration(&self, above_version: u64) -> Option<Configuration> {
--- a/crates/fl-peer/src/client.rs
+++ b/crates/fl-peer/src/client.rs
@@ -10,7 +10,7 @@
 use fl_protocol::event::Event;
 use fl_protocol::platform::Vm;
 use fl_protocol::{
-    Configuration, Member, OwnerEpoch, RequestId, RequestRecord, TokenOffset, VmName,
+    ClaimNonce, Configuration, Member, OwnerEpoch, RequestId, RequestRecord, TokenOffset, VmName,
 };
 use std::future::Future;
 use std::net::SocketAddr;
@@ -235,12 +235,12 @@
     async fn claim_status(
         &self,
         to: &Member,
-        id: RequestId,
+        nonce: ClaimNonce,
     ) -> Result<Option<ClaimStatus>, PeerError> {
         let host = self.host.clone();
         let call = move |client: peer::Client| -> Answer<Option<ClaimStatus>> {
             let mut request = client.claim_status_request();
-            codec::write_id(request.get().init_id(), id);
+            codec::write_id(request.get().init_id(), nonce);
             codec::write_stamp(request.get().init_stamp(), host.stamp());
             let host = host.clone();
             Box::pin(async move {
--- a/crates/fl-protocol/src/ids.rs
+++ b/crates/fl-protocol/src/ids.rs
@@ -14,6 +14,10 @@
 pub type ModelName = String;
 /// Names a plain service beside the model engines.
 pub type ServiceName = String;
+/// Names one claim of a call that may not be repeated, chosen at random by its owner.
+///
+/// An owner that was restarted knows none of its earlier life's nonces and so never answers for it.
+pub type ClaimNonce = u128;
 /// Counts accepted configurations; only ever grows.
 pub type ConfigurationVersion = u64;
 /// Orders the holders of one lease; a later holder has the greater number.
