Keep two testbeds from drawing the same addresses

Cause: a testbed failed once to start with 'Address already in use'; its addresses are drawn from 65,000, so among 8 at a time and 200 starts a run in 50 would meet another. Change: the table service's address is the claim; a taken one is drawn anew. Result: path and door pass; the failure was not brought about on purpose.

--- a/crates/fl-testbed/src/bed.rs
+++ b/crates/fl-testbed/src/bed.rs
@@ -32,6 +32,7 @@
 const FIRST_RUNNER: u8 = 60;
 const FIRST_APPLICATION: u8 = 120;
 const PLATFORM_HOST: u8 = 200;
+const TABLE_PORT: u16 = 1;
 const FIRST_PLATFORM_RELAY: u8 = 210;
 
 /// What a testbed consists of.
@@ -113,14 +114,13 @@
 impl Testbed {
     /// Starts everything.
     pub async fn start(options: TestbedOptions) -> Self {
-        let [second, third]: [u8; 2] = rand::random();
-        let base = [127, second.clamp(1, 254), third];
+        let (base, table) = claim_addresses(&options.table).await;
+        let [_, second, third] = base;
         let directory =
             std::env::temp_dir().join(format!("filbert-{second}-{third}-{}", std::process::id()));
         std::fs::create_dir_all(&directory).unwrap();
         let platform_ip = host(base, PLATFORM_HOST);
         let at = |port| SocketAddr::new(platform_ip, port);
-        let table = Table::start(at(1), options.table.clone()).await.unwrap();
         let objects = Objects::start(at(2)).await.unwrap();
         let cloud = Cloud::start(at(3), options.cloud.clone()).await.unwrap();
         let weights = Weights::start(at(4), WeightsOptions::default()).await.unwrap();
@@ -321,6 +321,20 @@
     }
 }
 
+/// Draws addresses until no other testbed has them: its table service holds one of them.
+async fn claim_addresses(options: &TableOptions) -> ([u8; 3], TableHandle) {
+    loop {
+        let [second, third]: [u8; 2] = rand::random();
+        let base = [127, second.clamp(1, 254), third];
+        let address = SocketAddr::new(host(base, PLATFORM_HOST), TABLE_PORT);
+        match Table::start(address, options.clone()).await {
+            Ok(table) => return (base, table),
+            Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
+            Err(error) => panic!("the table service at {address}: {error}"),
+        }
+    }
+}
+
 /// Names a data centre by its index.
 pub fn data_center(index: usize) -> String {
     format!("dc-{}", char::from(b'a' + index as u8))
