--- a/crates/fl-node/src/streams/reaper.rs
+++ b/crates/fl-node/src/streams/reaper.rs
@@ -35,8 +35,8 @@
         streams.owned.retain(|request| !request.is_expired(window));
         let kept_for = window + streams.give_up_after();
         streams.guarded.retain(|guarded: &Guarded| guarded.since.elapsed() <= kept_for);
-        metrics::gauge!("fl_requests_owned").set(streams.owned.len() as f64);
-        metrics::gauge!("fl_requests_guarded").set(streams.guarded.len() as f64);
+        metrics::gauge!("fl_requests_owned").set(streams.owned.count() as f64);
+        metrics::gauge!("fl_requests_guarded").set(streams.guarded.count() as f64);
     }
 }
 
--- a/crates/fl-node/src/streams/store.rs
+++ b/crates/fl-node/src/streams/store.rs
@@ -68,8 +68,7 @@
     }
 
     /// Counts the values.
-    #[allow(clippy::len_without_is_empty)]
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.entries.read().len()
     }
 }
