--- /dev/null
+++ b/crates/fl-forward/src/declared.rs
@@ -0,0 +1,142 @@
+//! What operators declared, as this node believes it, and how fresh that belief is.
+
+use crate::clock::boot_time;
+use crate::log::event::{DependencyLost, DependencyRegained, TableInForce, TableUnreadable};
+use crate::node::Node;
+use fl_kernel::forward::{DeclaredTable, PlatformError, StoreRevision};
+use fl_protocol::forward::RouteTable;
+use parking_lot::{Mutex, RwLock};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// How long one question for changes is held open. Its end without a change confirms the version in
+/// force, so this bounds how old that knowledge gets while all is well.
+const FEED_WAIT: Duration = Duration::from_millis(1200);
+/// Pause after a call that brought nothing.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// The belief.
+#[derive(Default)]
+pub struct Declared {
+    table: RwLock<Arc<RouteTable>>,
+    /// When the table was last known to be the newest, on the boot clock.
+    confirmed_at: Mutex<Option<Duration>>,
+    newer_known: Notify,
+}
+
+impl Declared {
+    /// The version in force here.
+    pub fn table(&self) -> Arc<RouteTable> {
+        self.table.read().clone()
+    }
+
+    /// How long ago the version in force was known to be the newest.
+    pub fn age(&self) -> Option<Duration> {
+        let confirmed_at = *self.confirmed_at.lock();
+        confirmed_at.map(|at| boot_time().saturating_sub(at))
+    }
+
+    /// Takes word of a peer that there is a newer version, which is then read at once.
+    pub fn hear_of(&self, version: u64) {
+        if version > self.table.read().version {
+            self.newer_known.notify_one();
+        }
+    }
+
+    /// Puts a table in force if it is newer; gives the version before it.
+    fn take(&self, table: RouteTable) -> Option<u64> {
+        let mut current = self.table.write();
+        let previous = current.version;
+        if table.version <= previous {
+            return None;
+        }
+        *current = Arc::new(table);
+        Some(previous)
+    }
+
+    fn confirm(&self, at: Duration) {
+        let mut confirmed_at = self.confirmed_at.lock();
+        *confirmed_at = Some(confirmed_at.map_or(at, |known| known.max(at)));
+    }
+}
+
+/// Follows what operators declare until the node ends.
+pub async fn follow(node: Arc<Node>) {
+    let mut revision: Option<StoreRevision> = None;
+    let mut lost_at: Option<Duration> = None;
+    loop {
+        let step = tokio::select! {
+            () = node.cancel.cancelled() => return,
+            () = node.declared.newer_known.notified() => {
+                revision = None;
+                continue;
+            }
+            step = read(&node, revision) => step,
+        };
+        match step {
+            Ok(next) => {
+                revision = Some(next);
+                if let Some(since) = lost_at.take() {
+                    let away_ms = (boot_time() - since).as_millis() as u64;
+                    node.log.write(&DependencyRegained { dependency: "operators' table", away_ms });
+                }
+                continue;
+            }
+            Err(PlatformError::HistoryGone) => {
+                revision = None;
+                continue;
+            }
+            Err(error) => {
+                if lost_at.is_none() {
+                    lost_at = Some(boot_time());
+                    let error = error.to_string();
+                    node.log.write(&DependencyLost { dependency: "operators' table", error });
+                }
+            }
+        }
+        if node.pause(RETRY_PAUSE).await.is_none() {
+            return;
+        }
+    }
+}
+
+/// Reads the table whole, or waits for its next change.
+async fn read(node: &Node, after: Option<StoreRevision>) -> Result<StoreRevision, PlatformError> {
+    let asked_at = boot_time();
+    let (declared, true_at) = match after {
+        None => (node.ports.store.declared().await?, asked_at),
+        Some(revision) => {
+            let declared = node.ports.store.declared_after(revision, FEED_WAIT).await?;
+            // An answer without a change came once the wait was over, so it is true from then on.
+            let waited = declared.table.is_none() && declared.fault.is_none();
+            let full_wait = waited && boot_time().saturating_sub(asked_at) >= FEED_WAIT;
+            (declared, if full_wait { asked_at + FEED_WAIT } else { asked_at })
+        }
+    };
+    apply(node, declared, true_at)
+}
+
+fn apply(
+    node: &Node,
+    declared: DeclaredTable,
+    true_at: Duration,
+) -> Result<StoreRevision, PlatformError> {
+    if let Some(fault) = &declared.fault {
+        let in_force = node.declared.table().version;
+        node.log.write(&TableUnreadable { fault, in_force });
+        return Err(PlatformError::Unreadable(fault.clone()));
+    }
+    if let Some(table) = declared.table {
+        let (version, routes) = (table.version, table.routes.len());
+        let (workspaces, keys) = (table.workspaces.len(), table.keys.len());
+        if let Some(previous) = node.declared.take(table) {
+            node.log.write(&TableInForce { version, previous, routes, workspaces, keys });
+            node.table_changed();
+        }
+    }
+    if node.declared.table().version > 0 {
+        node.declared.confirm(true_at);
+    }
+    Ok(declared.revision)
+}
--- /dev/null
+++ b/crates/fl-forward/src/duty.rs
@@ -0,0 +1,154 @@
+//! Duties that one node performs for all: reports of usage and orders of backend servers.
+//!
+//! The right to perform them is a lease row in the platform's store. A holder counts its validity
+//! from before each renewal was sent, on a clock that goes on while the VM is suspended.
+
+mod reports;
+
+use crate::clock::boot_time;
+use crate::log::event::{DutyFailed, LeaseChanged};
+use crate::node::Node;
+use fl_fleet::{Claim, Held, Lease, LeaseRow, Observed, Renewal};
+use fl_kernel::forward::{DutyToken, PlatformError, StoredRow, WriteOutcome};
+use parking_lot::Mutex;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The table of the duties' rows.
+const DUTY_TABLE: &str = "duty";
+const LEASE_KEY: &str = "lease";
+/// Time between two looks at what is to be done.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What this node's peers are told of its lease, and what it gives back at its end.
+#[derive(Default)]
+pub struct DutyState {
+    held: Mutex<Option<(Lease<Held>, u64)>>,
+}
+
+/// The lease as this node sees it.
+enum View {
+    Watching(Lease<Observed>),
+    Holding(Lease<Held>),
+}
+
+impl DutyState {
+    /// The fencing number, while this node holds the lease.
+    pub fn fencing(&self) -> Option<u64> {
+        let held = self.held.lock();
+        held.as_ref().and_then(|(lease, _)| lease.fencing(boot_time()).ok())
+    }
+}
+
+/// Performs the duties whenever this node holds their lease, until it ends.
+pub async fn perform(node: Arc<Node>) {
+    if node.ports.duties.is_none() {
+        return;
+    }
+    let own = node.settings.vm.clone();
+    let mut view = View::Watching(Lease::new(&own, node.settings.bounds.lease, boot_time()));
+    let mut reports = reports::Reports::default();
+    while node.pause(LOOK_INTERVAL).await.is_some() {
+        view = match view {
+            View::Watching(lease) => watch(&node, lease).await,
+            View::Holding(lease) => hold(&node, lease, &mut reports).await,
+        };
+        let held = match &view {
+            View::Holding(lease) => Some((lease.clone(), rand::random())),
+            View::Watching(_) => None,
+        };
+        *node.duty.held.lock() = held;
+    }
+}
+
+/// Gives the lease back, so that a peer need not wait for its end.
+pub async fn hand_back(node: &Node) {
+    let held = node.duty.held.lock().take();
+    if let Some((lease, nonce)) = held {
+        let claim = lease.release(nonce);
+        // A release that is lost costs the peers the lease's term.
+        let _ = write(node, &claim).await;
+    }
+}
+
+async fn watch(node: &Node, lease: Lease<Observed>) -> View {
+    if node.is_leaving() || !node.is_ready() || node.peers.some_peer_holds_duty() {
+        return View::Watching(lease);
+    }
+    let Ok(row) = node.ports.store.row(DUTY_TABLE, LEASE_KEY).await else {
+        return View::Watching(lease);
+    };
+    let lease = lease.observe(boot_time(), row.as_ref().and_then(lease_row));
+    let Some(claim) = lease.claim(boot_time(), rand::random()) else {
+        return View::Watching(lease);
+    };
+    let sent_at = boot_time();
+    match write(node, &claim).await {
+        Ok(WriteOutcome::Written(revision)) => {
+            let fencing = claim.row.fencing;
+            let holder = &node.settings.vm;
+            node.log.write(&LeaseChanged { change: "acquired", holder, fencing });
+            View::Holding(lease.acquired(sent_at, claim, revision))
+        }
+        Ok(WriteOutcome::Conflict(row)) => {
+            View::Watching(lease.observe(boot_time(), row.as_ref().and_then(lease_row)))
+        }
+        Err(_) => View::Watching(lease),
+    }
+}
+
+async fn hold(node: &Node, lease: Lease<Held>, reports: &mut reports::Reports) -> View {
+    let Ok(fencing) = lease.fencing(boot_time()) else {
+        return View::Watching(lost(node, lease, None));
+    };
+    let token = DutyToken { holder: node.settings.vm.clone(), fencing };
+    if node.settings.reports_usage
+        && let Err(error) = reports::perform(node, &token, reports).await
+    {
+        let is_stale = error == PlatformError::Stale;
+        node.log.write(&DutyFailed { duty: "usage report", error: error.to_string() });
+        if is_stale {
+            return View::Watching(lost(node, lease, None));
+        }
+    }
+    if !lease.is_renewal_due(boot_time()) {
+        return View::Holding(lease);
+    }
+    renew(node, lease).await
+}
+
+async fn renew(node: &Node, lease: Lease<Held>) -> View {
+    let claim = lease.renewal(rand::random());
+    let sent_at = boot_time();
+    let found = match write(node, &claim).await {
+        Ok(WriteOutcome::Written(revision)) => Some((revision, claim.row.clone())),
+        Ok(WriteOutcome::Conflict(row)) => row.as_ref().and_then(lease_row),
+        Err(_) => match node.ports.store.row(DUTY_TABLE, LEASE_KEY).await {
+            Ok(row) => row.as_ref().and_then(lease_row),
+            Err(_) => return View::Holding(lease),
+        },
+    };
+    match lease.written(boot_time(), sent_at, &claim, found) {
+        Renewal::Held(lease) => View::Holding(lease),
+        Renewal::Lost(lease) => {
+            node.log.write(&LeaseChanged { change: "lost to a peer", holder: "", fencing: 0 });
+            View::Watching(lease)
+        }
+    }
+}
+
+fn lost(node: &Node, lease: Lease<Held>, row: Option<(u64, LeaseRow)>) -> Lease<Observed> {
+    node.log.write(&LeaseChanged { change: "lapsed", holder: "", fencing: 0 });
+    lease.into_observed(boot_time(), row)
+}
+
+async fn write(node: &Node, claim: &Claim) -> Result<WriteOutcome, PlatformError> {
+    let value = serde_json::to_string(&claim.row)
+        .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
+    node.ports.store.write(DUTY_TABLE, LEASE_KEY, &value, claim.revision).await
+}
+
+fn lease_row(row: &StoredRow) -> Option<(u64, LeaseRow)> {
+    let read = serde_json::from_str(&row.value).ok()?;
+    Some((row.revision, read))
+}
--- /dev/null
+++ b/crates/fl-forward/src/lib.rs
@@ -0,0 +1,27 @@
+//! Forwarding: one path from a caller's request to its whole answer.
+//!
+//! Calls come through a door, are admitted, placed at a backend server, sent and relayed. What the
+//! wire and the platform look like is hidden behind the interfaces of `fl_kernel::forward`;
+//! decisions stand in `fl-routing`, `fl-limits` and `fl-fleet`. See
+//! `docs/design/100-on-the-platform.md`.
+
+pub mod admit;
+pub mod answer;
+pub mod channels;
+pub mod clock;
+pub mod declared;
+pub mod door;
+pub mod drive;
+pub mod duty;
+pub mod events;
+pub mod head_clock;
+pub mod log;
+pub mod metrics_page;
+pub mod node;
+pub mod peers;
+pub mod run;
+pub mod servers;
+pub mod usage;
+
+pub use node::{Node, Ports};
+pub use run::start;
--- /dev/null
+++ b/crates/fl-forward/src/metrics_page.rs
@@ -0,0 +1,68 @@
+//! The page of metrics.
+
+use crate::node::Node;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use metrics_exporter_prometheus::PrometheusHandle;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// The path of the page.
+pub const METRICS_PATH: &str = "/metrics";
+/// How long one reader may keep a connection.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(10);
+/// How often histograms are folded, so that their memory stays bounded between two readings.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Serves the page until the node ends.
+pub async fn serve(node: Arc<Node>, listener: TcpListener, metrics: PrometheusHandle) {
+    let mut upkeep = tokio::time::interval(UPKEEP_INTERVAL);
+    loop {
+        tokio::select! {
+            () = node.cancel.cancelled() => return,
+            _ = upkeep.tick() => metrics.run_upkeep(),
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    tokio::spawn(answer(node.clone(), stream, metrics.clone()));
+                }
+            }
+        }
+    }
+}
+
+async fn answer(node: Arc<Node>, stream: TcpStream, metrics: PrometheusHandle) {
+    let service = service_fn(move |request: Request<Incoming>| {
+        let found = request.uri().path() == METRICS_PATH;
+        gauges(&node);
+        let text = if found { metrics.render() } else { String::new() };
+        async move {
+            let mut response = Response::new(Full::new(Bytes::from(text)));
+            if !found {
+                *response.status_mut() = StatusCode::NOT_FOUND;
+            }
+            let kind = header::HeaderValue::from_static("text/plain; version=0.0.4");
+            response.headers_mut().insert(header::CONTENT_TYPE, kind);
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection =
+        hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    // A reader that goes away or takes too long reads again.
+    let _ = tokio::time::timeout(CONNECTION_TIMEOUT, connection).await;
+}
+
+/// Sets what is only known when it is asked for.
+fn gauges(node: &Node) {
+    let table_age = node.declared.age().map_or(f64::INFINITY, |age| age.as_secs_f64());
+    metrics::gauge!("fl_table_age_seconds").set(table_age);
+    metrics::gauge!("fl_table_version").set(node.declared.table().version as f64);
+    metrics::gauge!("fl_servers_usable").set(node.servers.usable().len() as f64);
+    metrics::gauge!("fl_nodes").set(node.peers.nodes() as f64);
+    metrics::gauge!("fl_calls_under_way").set(node.calls() as f64);
+}
--- /dev/null
+++ b/crates/fl-forward/src/node.rs
@@ -0,0 +1,128 @@
+//! What the parts of a forwarding node share.
+
+use crate::admit::Quotas;
+use crate::channels::ChannelPool;
+use crate::declared::Declared;
+use crate::drive::Repeats;
+use crate::duty::DutyState;
+use crate::log::Log;
+use crate::peers::Peers;
+use crate::servers::Servers;
+use crate::usage::UsageCounts;
+use fl_kernel::forward::{CallCodec, ForwardSettings, PlatformDuties, PlatformStore};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+/// What a node meets the platform by.
+pub struct Ports {
+    /// Translates calls.
+    pub codec: Arc<dyn CallCodec>,
+    /// Reads and writes what lasts.
+    pub store: Arc<dyn PlatformStore>,
+    /// Performs duties; none where the platform asks for none.
+    pub duties: Option<Arc<dyn PlatformDuties>>,
+}
+
+/// A forwarding node.
+pub struct Node {
+    /// What it is set to.
+    pub settings: ForwardSettings,
+    /// What it meets the platform by.
+    pub ports: Ports,
+    /// Its log.
+    pub log: Log,
+    /// What operators declared.
+    pub declared: Declared,
+    /// Backend servers.
+    pub servers: Servers,
+    /// Connections to them.
+    pub channels: ChannelPool,
+    /// Quotas of workspaces.
+    pub quotas: Quotas,
+    /// Budgets of repeats.
+    pub repeats: Repeats,
+    /// Calls that began to run, to be reported.
+    pub usage: UsageCounts,
+    /// The lease of the duties.
+    pub duty: DutyState,
+    /// Other nodes.
+    pub peers: Peers,
+    /// Is cancelled when connections end after the answer under way.
+    pub closing: CancellationToken,
+    /// Is cancelled when every task has to end.
+    pub cancel: CancellationToken,
+    leaving: AtomicBool,
+    calls: AtomicUsize,
+}
+
+/// Counts a call for as long as it is under way.
+pub struct CallUnderWay(Arc<Node>);
+
+impl Node {
+    /// Makes a node that knows nothing yet.
+    pub fn new(settings: ForwardSettings, ports: Ports, log: Log) -> Self {
+        Node {
+            repeats: Repeats::new(&settings.bounds),
+            peers: Peers::new(&settings),
+            settings,
+            ports,
+            log,
+            declared: Declared::default(),
+            servers: Servers::default(),
+            channels: ChannelPool::default(),
+            quotas: Quotas::default(),
+            usage: UsageCounts::default(),
+            duty: DutyState::default(),
+            closing: CancellationToken::new(),
+            cancel: CancellationToken::new(),
+            leaving: AtomicBool::new(false),
+            calls: AtomicUsize::new(0),
+        }
+    }
+
+    /// Waits; none if the node ends meanwhile.
+    pub async fn pause(&self, time: Duration) -> Option<()> {
+        self.cancel.run_until_cancelled(tokio::time::sleep(time)).await
+    }
+
+    /// Says whether the balancer may choose this node: it knows what is declared and its servers.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.declared.table().version > 0 && self.servers.read_at().is_some()
+    }
+
+    /// Takes word that the node was told to stop.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Says whether the node was told to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Calls under way.
+    pub fn calls(&self) -> usize {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Takes word that a new table is in force.
+    pub fn table_changed(&self) {
+        self.quotas.table_changed(&self.declared.table(), self.peers.nodes());
+    }
+}
+
+impl CallUnderWay {
+    /// Begins to count a call.
+    pub fn begin(node: &Arc<Node>) -> Self {
+        node.calls.fetch_add(1, Ordering::Relaxed);
+        CallUnderWay(node.clone())
+    }
+}
+
+impl Drop for CallUnderWay {
+    fn drop(&mut self) {
+        self.0.calls.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/fl-forward/src/peers.rs
@@ -0,0 +1,359 @@
+//! What nodes tell each other: load, quotas, usage and versions, in small datagrams.
+//!
+//! Each node sends its whole report to every other at a pace that bounds the cost whatever their
+//! number. A lost datagram is made good by the next. Nodes find each other through rows in the
+//! platform's store; a node that a datagram came from is known as well.
+
+use crate::admit::OwnShare;
+use crate::clock::boot_time;
+use crate::log::event::{DependencyLost, PeerChanged};
+use crate::node::Node;
+use crate::servers::OwnLoad;
+use crate::usage::WindowCounts;
+use fl_kernel::clock::unix_ms;
+use fl_kernel::forward::{ForwardSettings, StoreRevision, WriteOutcome};
+use fl_limits::PeerShare;
+use fl_protocol::{DataCenterName, VmName, WorkspaceName};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+
+/// The table in which nodes register their address.
+const NODE_TABLE: &str = "nodes";
+/// Time between two reports to one peer in a small fleet.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two reports grows by this for each peer, so that a large fleet costs no more.
+const INTERVAL_PER_PEER: Duration = Duration::from_millis(12);
+/// Reports missed before a peer counts as silent.
+const REPORTS_MISSED: u32 = 4;
+/// How long a silent peer may still admit calls; its keys lose their force by then.
+const HOLDS_SHARE: Duration = Duration::from_secs(6);
+/// How long a silent peer is remembered, so that its counts are not lost before they are reported.
+const REMEMBERED: Duration = Duration::from_secs(30);
+/// Earlier lives of a peer whose counts are kept.
+const LIVES_KEPT: usize = 3;
+/// Largest datagram that is read.
+const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
+/// Pause after a call to the store that brought nothing.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Time between two looks at the list of nodes, to find those whose datagrams never came.
+const DISCOVERY_INTERVAL: Duration = Duration::from_secs(15);
+
+/// What a node tells its peers.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Who says it.
+    pub vm: VmName,
+    /// Its data centre.
+    pub zone: DataCenterName,
+    /// When its process started, which tells its lives apart.
+    pub started_ms: u64,
+    /// Grows with each report of one life.
+    pub sequence: u64,
+    /// The declared version in force there.
+    pub table_version: u64,
+    /// Whether it admits calls.
+    pub admits: bool,
+    /// The fencing number of the duties' lease, if it holds it.
+    pub duty_fencing: Option<u64>,
+    /// Calls at servers: hash of the name, calls, unread tokens.
+    pub loads: Vec<(u64, u32, u64)>,
+    /// Parts of quotas: workspace, weight, demand.
+    pub shares: Vec<(WorkspaceName, f64, f64)>,
+    /// Calls that began to run, by window.
+    pub usage: Vec<WindowCounts>,
+}
+
+/// A peer as this node knows it.
+#[derive(Debug, Clone)]
+struct Peer {
+    address: SocketAddr,
+    heard_at: Option<Duration>,
+    is_silent: bool,
+    report: Report,
+    /// Counts of earlier lives of its process that may not have been reported yet.
+    earlier_usage: Vec<Vec<WindowCounts>>,
+}
+
+/// What is known of the peers.
+pub struct Peers {
+    own: SocketAddr,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    /// Sorted by address.
+    peers: Vec<Peer>,
+    sequence: u64,
+    started_ms: u64,
+}
+
+impl Peers {
+    /// Knows nobody yet.
+    pub fn new(settings: &ForwardSettings) -> Self {
+        let state = State { started_ms: unix_ms(), ..State::default() };
+        Peers { own: settings.peers, state: Mutex::new(state) }
+    }
+
+    /// Nodes that may admit calls, this one included.
+    pub fn nodes(&self) -> usize {
+        let now = boot_time();
+        let state = self.state.lock();
+        1 + state.peers.iter().filter(|peer| peer.may_admit(now)).count()
+    }
+
+    /// Counts of the peers.
+    pub fn usage(&self) -> Vec<Vec<WindowCounts>> {
+        let state = self.state.lock();
+        state.peers.iter().flat_map(Peer::usage).collect()
+    }
+
+    /// Whether every peer that may admit calls was heard after a time.
+    pub fn all_heard_since(&self, time: Duration) -> bool {
+        let now = boot_time();
+        let state = self.state.lock();
+        let mut admitting = state.peers.iter().filter(|peer| peer.may_admit(now));
+        admitting.all(|peer| peer.heard_at.is_some_and(|heard_at| heard_at > time))
+    }
+
+    /// Whether a peer that was heard lately holds the duties' lease.
+    pub fn some_peer_holds_duty(&self) -> bool {
+        let state = self.state.lock();
+        state.peers.iter().any(|peer| !peer.is_silent && peer.report.duty_fencing.is_some())
+    }
+
+    fn interval(&self) -> Duration {
+        let peers = self.state.lock().peers.len() as u32;
+        REPORT_INTERVAL.max(INTERVAL_PER_PEER * peers)
+    }
+
+    fn know(&self, address: SocketAddr) {
+        if address == self.own {
+            return;
+        }
+        let mut state = self.state.lock();
+        if let Err(place) = state.peers.binary_search_by_key(&address, |peer| peer.address) {
+            state.peers.insert(place, Peer::new(address));
+        }
+    }
+
+    /// Takes a report; says whether the peer was silent before, and for how long.
+    fn take(&self, from: SocketAddr, report: Report) -> Option<Duration> {
+        self.know(from);
+        let now = boot_time();
+        let mut state = self.state.lock();
+        let place = state.peers.binary_search_by_key(&from, |peer| peer.address).ok()?;
+        let peer = &mut state.peers[place];
+        let known = (peer.report.started_ms, peer.report.sequence);
+        if (report.started_ms, report.sequence) <= known {
+            return None;
+        }
+        let silence = peer.heard_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        let was_silent = peer.is_silent;
+        peer.heard_at = Some(now);
+        peer.is_silent = false;
+        if report.started_ms > peer.report.started_ms && !peer.report.usage.is_empty() {
+            peer.earlier_usage.push(std::mem::take(&mut peer.report.usage));
+            let surplus = peer.earlier_usage.len().saturating_sub(LIVES_KEPT);
+            peer.earlier_usage.drain(..surplus);
+        }
+        peer.report = report;
+        was_silent.then_some(silence)
+    }
+
+    /// Marks peers that fell silent and forgets those long gone; gives the newly silent.
+    fn review(&self) -> Vec<(VmName, Duration)> {
+        let now = boot_time();
+        let limit = self.interval() * REPORTS_MISSED;
+        let mut state = self.state.lock();
+        state.peers.retain(|peer| peer.silence(now) < REMEMBERED || peer.heard_at.is_none());
+        let mut silent = Vec::new();
+        for peer in &mut state.peers {
+            if !peer.is_silent && peer.silence(now) > limit {
+                peer.is_silent = true;
+                silent.push((peer.report.vm.clone(), peer.silence(now)));
+            }
+        }
+        silent
+    }
+
+    /// Sums of the peers' calls at servers, sorted by the server's hash.
+    fn loads(&self) -> Vec<OwnLoad> {
+        let state = self.state.lock();
+        let mut sums: Vec<OwnLoad> = Vec::new();
+        let heard = state.peers.iter().filter(|peer| !peer.is_silent);
+        for (server, in_flight, unread_tokens) in heard.flat_map(|peer| &peer.report.loads) {
+            match sums.binary_search_by_key(server, |load| load.server) {
+                Ok(place) => {
+                    sums[place].in_flight += in_flight;
+                    sums[place].unread_tokens += unread_tokens;
+                }
+                Err(place) => {
+                    let (server, in_flight) = (*server, *in_flight);
+                    let load = OwnLoad { server, in_flight, unread_tokens: *unread_tokens };
+                    sums.insert(place, load);
+                }
+            }
+        }
+        sums
+    }
+
+    /// What peers that may admit calls hold of a workspace's quota.
+    fn shares(&self, workspace: &str) -> Vec<PeerShare> {
+        let now = boot_time();
+        let state = self.state.lock();
+        let admitting = state.peers.iter().filter(|peer| peer.may_admit(now));
+        let shares = admitting.map(|peer| {
+            let held = peer.report.shares.iter().find(|(name, _, _)| name == workspace);
+            held.map_or(PeerShare { weight: 0.0, demand_per_s: 0.0 }, |(_, weight, demand)| {
+                PeerShare { weight: *weight, demand_per_s: *demand }
+            })
+        });
+        shares.collect()
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.state.lock().peers.iter().map(|peer| peer.address).collect()
+    }
+}
+
+impl Peer {
+    fn new(address: SocketAddr) -> Self {
+        Peer {
+            address,
+            heard_at: None,
+            is_silent: true,
+            report: Report::default(),
+            earlier_usage: Vec::new(),
+        }
+    }
+
+    /// Counts of all its lives.
+    fn usage(&self) -> Vec<Vec<WindowCounts>> {
+        let mut usage = self.earlier_usage.clone();
+        usage.push(self.report.usage.clone());
+        usage
+    }
+
+    fn silence(&self, now: Duration) -> Duration {
+        self.heard_at.map_or(Duration::ZERO, |heard_at| now.saturating_sub(heard_at))
+    }
+
+    fn may_admit(&self, now: Duration) -> bool {
+        self.heard_at.is_some() && self.report.admits && self.silence(now) < HOLDS_SHARE
+    }
+}
+
+/// Tells the peers what this node knows, until it ends.
+pub async fn tell(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    loop {
+        for (peer, silence) in node.peers.review() {
+            let silent_ms = silence.as_millis() as u64;
+            node.log.write(&PeerChanged { peer: &peer, change: "silent", silent_ms });
+        }
+        node.servers.set_peers_load(&node.peers.loads());
+        node.quotas.rebalance(|workspace| node.peers.shares(workspace));
+        let report = own_report(&node);
+        if let Ok(bytes) = postcard::to_stdvec(&report) {
+            for address in node.peers.addresses() {
+                // A datagram that cannot be sent is made good by the next one.
+                let _ = socket.try_send_to(&bytes, address);
+            }
+        }
+        if node.pause(node.peers.interval()).await.is_none() {
+            return;
+        }
+    }
+}
+
+fn own_report(node: &Node) -> Report {
+    let mut state = node.peers.state.lock();
+    state.sequence += 1;
+    let (sequence, started_ms) = (state.sequence, state.started_ms);
+    drop(state);
+    let loads = node.servers.own_load().into_iter();
+    let shares = node.quotas.own_shares().into_iter();
+    Report {
+        vm: node.settings.vm.clone(),
+        zone: node.settings.zone.clone(),
+        started_ms,
+        sequence,
+        table_version: node.declared.table().version,
+        admits: !node.is_leaving(),
+        duty_fencing: node.duty.fencing(),
+        loads: loads.map(|load| (load.server, load.in_flight, load.unread_tokens)).collect(),
+        shares: shares.map(share_entry).collect(),
+        usage: node.usage.all(),
+    }
+}
+
+fn share_entry(own: OwnShare) -> (WorkspaceName, f64, f64) {
+    (own.workspace, own.share.weight, own.share.demand_per_s)
+}
+
+/// Hears the peers until the node ends.
+pub async fn hear(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
+    while let Some(received) = node.cancel.run_until_cancelled(socket.recv_from(&mut buffer)).await
+    {
+        let Ok((size, from)) = received else { continue };
+        let Ok(report) = postcard::from_bytes::<Report>(&buffer[..size]) else {
+            metrics::counter!("fl_peer_reports_unreadable_total").increment(1);
+            continue;
+        };
+        node.declared.hear_of(report.table_version);
+        let vm = report.vm.clone();
+        if let Some(silence) = node.peers.take(from, report) {
+            let silent_ms = silence.as_millis() as u64;
+            node.log.write(&PeerChanged { peer: &vm, change: "heard", silent_ms });
+        }
+    }
+}
+
+/// Registers this node in the store and finds the others there.
+pub async fn discover(node: Arc<Node>) {
+    let mut revision: Option<StoreRevision> = None;
+    let mut has_failed = false;
+    loop {
+        let pause = match meet(&node, &mut revision).await {
+            Ok(()) => {
+                has_failed = false;
+                DISCOVERY_INTERVAL
+            }
+            Err(error) => {
+                if !has_failed {
+                    node.log.write(&DependencyLost { dependency: "list of nodes", error });
+                }
+                has_failed = true;
+                RETRY_PAUSE
+            }
+        };
+        if node.pause(pause).await.is_none() {
+            return;
+        }
+    }
+}
+
+async fn meet(node: &Node, revision: &mut Option<StoreRevision>) -> Result<(), String> {
+    let store = &node.ports.store;
+    let vm = &node.settings.vm;
+    if revision.is_none() {
+        let address = node.settings.peers.to_string();
+        let known = store.row(NODE_TABLE, vm).await.map_err(|error| error.to_string())?;
+        let expected = known.map_or(0, |row| row.revision);
+        let written = store.write(NODE_TABLE, vm, &address, expected).await;
+        match written.map_err(|error| error.to_string())? {
+            WriteOutcome::Written(written) => *revision = Some(written),
+            WriteOutcome::Conflict(_) => return Err("another process registers here".to_string()),
+        }
+    }
+    let rows = store.rows(NODE_TABLE).await.map_err(|error| error.to_string())?;
+    for address in rows.iter().filter_map(|row| row.value.parse().ok()) {
+        node.peers.know(address);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/fl-forward/src/run.rs
@@ -0,0 +1,164 @@
+//! The life of a forwarding node: start, serve, leave without cutting anything off.
+
+use crate::log::Log;
+use crate::log::event::{NodeLeaving, NodeReady, NodeStarted, NodeStopped, SettingsReread};
+use crate::node::{Node, Ports};
+use crate::{declared, door, duty, metrics_page, peers, servers};
+use bytes::Bytes;
+use fl_kernel::forward::ForwardSettings;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use socket2::{Domain, Socket, Type};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// How long a leaving node still takes calls, until the balancer has noticed: it asks once a
+/// second and needs two answers.
+const LAST_CALLS: Duration = Duration::from_millis(2800);
+/// What is kept of the time to stop for the process to end.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+/// How often a leaving node looks whether its calls have ended.
+const LEAVING_LOOK: Duration = Duration::from_millis(50);
+/// How long the balancer may keep a connection to the readiness address.
+const READINESS_TIMEOUT: Duration = Duration::from_secs(30);
+/// Connections that may wait to be accepted.
+const BACKLOG_CONNECTIONS: i32 = 1024;
+/// How often the node looks whether it has become ready.
+const READY_LOOK: Duration = Duration::from_millis(100);
+
+/// Why a node did not start.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum StartError {
+    /// cannot listen on {0}: {1}; free the address
+    Listen(SocketAddr, std::io::Error),
+    /// cannot handle signals: {0}; check what the process is allowed to do
+    Signal(std::io::Error),
+    /// cannot set up logs: {0}; check standard output
+    Log(spdlog::Error),
+    /// cannot set up metrics: {0}; start one node a process
+    Metrics(metrics_exporter_prometheus::BuildError),
+}
+
+/// Runs a node until it is told to stop. `reread` reads the settings again and says what came of it.
+pub async fn start(
+    settings: ForwardSettings,
+    ports: Ports,
+    reread: impl Fn() -> String,
+) -> Result<(), StartError> {
+    let log = Log::to_stdout(&settings.vm, &settings.zone).map_err(StartError::Log)?;
+    let metrics = PrometheusBuilder::new().install_recorder().map_err(StartError::Metrics)?;
+    let signals = |kind| signal(kind).map_err(StartError::Signal);
+    let mut terminate = signals(SignalKind::terminate())?;
+    let mut reload = signals(SignalKind::hangup())?;
+    let callers = listen(settings.callers)?;
+    let readiness = listen(settings.readiness)?;
+    let metrics_listener = listen(settings.metrics)?;
+    let socket = UdpSocket::bind(settings.peers).await;
+    let socket = socket.map_err(|error| StartError::Listen(settings.peers, error))?;
+    let node = Arc::new(Node::new(settings, ports, log));
+    let version = env!("CARGO_PKG_VERSION");
+    node.log.write(&NodeStarted { version, callers: node.settings.callers });
+    spawn_services(&node, Arc::new(socket));
+    tokio::spawn(metrics_page::serve(node.clone(), metrics_listener, metrics));
+    tokio::spawn(answer_readiness(node.clone(), readiness));
+    tokio::spawn(door::listen(node.clone(), callers));
+    tokio::spawn(announce_ready(node.clone()));
+    wait_for_end(&node, &mut terminate, &mut reload, reread).await;
+    leave(&node).await;
+    Ok(())
+}
+
+fn spawn_services(node: &Arc<Node>, socket: Arc<UdpSocket>) {
+    tokio::spawn(declared::follow(node.clone()));
+    tokio::spawn(servers::follow(node.clone()));
+    tokio::spawn(peers::hear(node.clone(), socket.clone()));
+    tokio::spawn(peers::tell(node.clone(), socket));
+    tokio::spawn(peers::discover(node.clone()));
+    tokio::spawn(duty::perform(node.clone()));
+}
+
+async fn announce_ready(node: Arc<Node>) {
+    while !node.is_ready() {
+        if node.pause(READY_LOOK).await.is_none() {
+            return;
+        }
+    }
+    let table_version = node.declared.table().version;
+    node.log.write(&NodeReady { table_version, servers: node.servers.usable().len() });
+}
+
+async fn wait_for_end(
+    node: &Node,
+    terminate: &mut Signal,
+    reload: &mut Signal,
+    reread: impl Fn() -> String,
+) {
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = reload.recv() => node.log.write(&SettingsReread { outcome: &reread() }),
+        }
+    }
+}
+
+/// Stops to be ready, takes what still comes for a while, and ends once every call has its answer.
+async fn leave(node: &Arc<Node>) {
+    node.leave();
+    node.log.write(&NodeLeaving { calls: node.calls() });
+    let end = tokio::time::Instant::now() + node.settings.bounds.grace.saturating_sub(STOP_MARGIN);
+    tokio::time::sleep(LAST_CALLS.min(node.settings.bounds.grace / 2)).await;
+    node.closing.cancel();
+    while node.calls() > 0 && tokio::time::Instant::now() < end {
+        tokio::time::sleep(LEAVING_LOOK).await;
+    }
+    duty::hand_back(node).await;
+    node.log.write(&NodeStopped { calls: node.calls() });
+    node.cancel.cancel();
+    // The last bytes of answers leave with the connections' tasks.
+    tokio::time::sleep(LEAVING_LOOK).await;
+}
+
+/// Listens with address reuse, so that connections of an earlier process do not keep this one out.
+fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let open = || {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG_CONNECTIONS)?;
+        TcpListener::from_std(socket.into())
+    };
+    open().map_err(|error| StartError::Listen(address, error))
+}
+
+async fn answer_readiness(node: Arc<Node>, listener: TcpListener) {
+    while let Some(accepted) = node.cancel.run_until_cancelled(listener.accept()).await {
+        if let Ok((stream, _)) = accepted {
+            tokio::spawn(answer_balancer(node.clone(), stream));
+        }
+    }
+}
+
+async fn answer_balancer(node: Arc<Node>, stream: TcpStream) {
+    let service = service_fn(move |_: Request<Incoming>| {
+        let status = if node.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        async move {
+            let mut response = Response::new(Full::new(Bytes::new()));
+            *response.status_mut() = status;
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service);
+    // The balancer opens another connection when this one is over.
+    let _ = tokio::time::timeout(READINESS_TIMEOUT, connection).await;
+}
--- /dev/null
+++ b/crates/fl-forward/src/servers.rs
@@ -0,0 +1,294 @@
+//! Backend servers as this node believes them: who is registered, how loaded, how trustworthy.
+
+use crate::clock::boot_time;
+use crate::log::event::{DependencyLost, DependencyRegained, ServerChanged, ServerEntryUnreadable};
+use crate::node::Node;
+use fl_protocol::forward::{ModelCall, ServerEntry, ServerName};
+use fl_routing::placement::{Candidate, Placement, ReadRate, ServerPressure, place};
+use fl_routing::registered::{RegisteredServers, RegistryChange};
+use fl_routing::rendezvous::name_hash;
+use parking_lot::Mutex;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two reads of the registry. With the time an answer takes it stays well below the
+/// shortest time in which a leaving server has to be known.
+const READ_INTERVAL: Duration = Duration::from_millis(900);
+/// Pause after a read that brought nothing.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// What one failure adds to a server's suspicion.
+const FAILURE_SUSPICION: f64 = 0.35;
+/// Time in which suspicion halves.
+const SUSPICION_HALF_LIFE: Duration = Duration::from_millis(1500);
+
+/// The belief.
+#[derive(Default)]
+pub struct Servers {
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    registered: RegisteredServers,
+    /// Sorted by name.
+    known: Vec<Known>,
+    rate: ReadRate,
+    faults: Vec<String>,
+}
+
+/// What this node knows of one server besides its entry.
+struct Known {
+    name: ServerName,
+    hash: u64,
+    in_flight: u32,
+    unread_tokens: u64,
+    /// Calls and unread tokens of the peers, from their last reports.
+    peers_in_flight: u32,
+    peers_unread_tokens: u64,
+    suspicion: f64,
+    suspicion_at: Duration,
+}
+
+/// A server that was chosen for a call.
+#[derive(Debug, Clone)]
+pub struct Chosen {
+    /// What its entry says.
+    pub entry: ServerEntry,
+    /// What was predicted.
+    pub placement: Placement,
+    /// Calls in flight there, as believed.
+    pub in_flight: u32,
+}
+
+/// This node's calls at one server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OwnLoad {
+    /// The hash of the server's name.
+    pub server: u64,
+    /// Calls in flight.
+    pub in_flight: u32,
+    /// Prompt tokens of them that the server has not read.
+    pub unread_tokens: u64,
+}
+
+/// Counts a call at a server until it ends.
+pub struct InFlight {
+    node: Arc<Node>,
+    server: ServerName,
+    unread_tokens: u64,
+}
+
+impl Servers {
+    /// Chooses a server of a service, leaving out some.
+    pub fn choose(
+        &self,
+        service: &str,
+        call: Option<&ModelCall>,
+        own_zone: &str,
+        left_out: &[ServerName],
+    ) -> Option<Chosen> {
+        let now = boot_time();
+        let state = self.state.lock();
+        let candidates: Vec<Candidate> = state
+            .registered
+            .usable()
+            .filter(|entry| entry.service == service && !left_out.contains(&entry.name))
+            .map(|entry| state.candidate(entry, now))
+            .collect();
+        let placement = place(call, &candidates, own_zone, state.rate, rand::random::<f64>)?;
+        let candidate = candidates.get(placement.index)?;
+        let in_flight = candidate.pressure.in_flight;
+        Some(Chosen { entry: candidate.entry.clone(), placement, in_flight })
+    }
+
+    /// Servers that may be used.
+    pub fn usable(&self) -> Vec<ServerEntry> {
+        self.state.lock().registered.usable().cloned().collect()
+    }
+
+    /// When the registry was last read, on the boot clock.
+    pub fn read_at(&self) -> Option<Duration> {
+        self.state.lock().registered.read_at()
+    }
+
+    /// This node's calls at each server that has some.
+    pub fn own_load(&self) -> Vec<OwnLoad> {
+        let state = self.state.lock();
+        let busy = state.known.iter().filter(|known| known.in_flight > 0);
+        busy.map(|known| OwnLoad {
+            server: known.hash,
+            in_flight: known.in_flight,
+            unread_tokens: known.unread_tokens,
+        })
+        .collect()
+    }
+
+    /// Takes the sums of what the peers told, sorted by the server's hash.
+    pub fn set_peers_load(&self, loads: &[OwnLoad]) {
+        let mut state = self.state.lock();
+        for known in &mut state.known {
+            let place = loads.binary_search_by_key(&known.hash, |load| load.server);
+            let load = place.ok().map(|place| loads[place]);
+            known.peers_in_flight = load.map_or(0, |load| load.in_flight);
+            known.peers_unread_tokens = load.map_or(0, |load| load.unread_tokens);
+        }
+    }
+
+    /// Takes word that a server failed a call.
+    pub fn failed(&self, server: &str) {
+        let now = boot_time();
+        self.with_known(server, |known| {
+            known.suspicion = (known.suspicion_now(now) + FAILURE_SUSPICION).min(1.0);
+            known.suspicion_at = now;
+        });
+    }
+
+    fn with_known(&self, server: &str, act: impl FnOnce(&mut Known)) {
+        let mut state = self.state.lock();
+        let place = state.known.binary_search_by(|known| known.name.as_str().cmp(server));
+        if let Ok(place) = place {
+            act(&mut state.known[place]);
+        }
+    }
+}
+
+impl State {
+    fn candidate<'a>(&self, entry: &'a ServerEntry, now: Duration) -> Candidate<'a> {
+        let place = self.known.binary_search_by(|known| known.name.cmp(&entry.name));
+        let known = place.ok().map(|place| &self.known[place]);
+        let pressure = known.map_or_else(ServerPressure::default, |known| known.pressure(now));
+        let name_hash = known.map_or(0, |known| known.hash);
+        Candidate { entry, name_hash, pressure }
+    }
+
+    /// Keeps what is known of listed servers and begins to know new ones.
+    fn know_listed(&mut self) {
+        let mut listed: Vec<&ServerEntry> = self.registered.usable().collect();
+        listed.sort_by(|a, b| a.name.cmp(&b.name));
+        self.known.retain(|known| {
+            known.in_flight > 0
+                || listed.binary_search_by(|entry| entry.name.cmp(&known.name)).is_ok()
+        });
+        for entry in listed {
+            if let Err(place) = self.known.binary_search_by(|known| known.name.cmp(&entry.name)) {
+                self.known.insert(place, Known::new(&entry.name));
+            }
+        }
+    }
+}
+
+impl Known {
+    fn new(name: &str) -> Self {
+        Known {
+            name: name.to_string(),
+            hash: name_hash(name),
+            in_flight: 0,
+            unread_tokens: 0,
+            peers_in_flight: 0,
+            peers_unread_tokens: 0,
+            suspicion: 0.0,
+            suspicion_at: Duration::ZERO,
+        }
+    }
+
+    fn pressure(&self, now: Duration) -> ServerPressure {
+        ServerPressure {
+            in_flight: self.in_flight + self.peers_in_flight,
+            unread_tokens: self.unread_tokens + self.peers_unread_tokens,
+            suspicion: self.suspicion_now(now),
+        }
+    }
+
+    fn suspicion_now(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.suspicion_at).as_secs_f64();
+        self.suspicion * 0.5_f64.powf(age / SUSPICION_HALF_LIFE.as_secs_f64())
+    }
+}
+
+impl InFlight {
+    /// Counts a call at a chosen server.
+    pub fn begin(node: &Arc<Node>, chosen: &Chosen) -> Self {
+        let unread_tokens = chosen.placement.read_tokens;
+        node.servers.with_known(&chosen.entry.name, |known| {
+            known.in_flight += 1;
+            known.unread_tokens += unread_tokens;
+        });
+        InFlight { node: node.clone(), server: chosen.entry.name.clone(), unread_tokens }
+    }
+
+    /// Takes word that the first token came: the prompt was read.
+    pub fn first_token(&mut self, tokens_ahead: u64, after: Duration) {
+        let read = std::mem::take(&mut self.unread_tokens);
+        self.node.servers.with_known(&self.server, |known| known.unread_tokens -= read);
+        let first_token_ms = after.as_secs_f64() * 1000.0;
+        self.node.servers.state.lock().rate.observe(read + tokens_ahead, first_token_ms);
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let unread_tokens = self.unread_tokens;
+        self.node.servers.with_known(&self.server, |known| {
+            known.in_flight = known.in_flight.saturating_sub(1);
+            known.unread_tokens = known.unread_tokens.saturating_sub(unread_tokens);
+        });
+    }
+}
+
+/// Follows the registry until the node ends.
+pub async fn follow(node: Arc<Node>) {
+    let mut lost_at: Option<Duration> = None;
+    loop {
+        let pause = match read(&node).await {
+            Ok(()) => {
+                if let Some(since) = lost_at.take() {
+                    let away_ms = (boot_time() - since).as_millis() as u64;
+                    node.log.write(&DependencyRegained { dependency: "server registry", away_ms });
+                }
+                READ_INTERVAL
+            }
+            Err(error) => {
+                if lost_at.is_none() {
+                    lost_at = Some(boot_time());
+                    node.log.write(&DependencyLost { dependency: "server registry", error });
+                }
+                RETRY_PAUSE
+            }
+        };
+        if node.pause(pause).await.is_none() {
+            return;
+        }
+    }
+}
+
+async fn read(node: &Node) -> Result<(), String> {
+    let asked_at = boot_time();
+    let list = node.ports.store.servers().await.map_err(|error| error.to_string())?;
+    let heartbeat = node.settings.server_heartbeat;
+    let mut state = node.servers.state.lock();
+    let changes = state.registered.take_list(list.entries, list.revision, asked_at, heartbeat);
+    state.know_listed();
+    log_faults(node, &mut state.faults, &list.faults);
+    drop(state);
+    for change in &changes {
+        let (server, change) = match change {
+            RegistryChange::Joined(server) => (server, "joined"),
+            RegistryChange::Draining(server) => (server, "draining"),
+            RegistryChange::Gone(server) => (server, "gone"),
+        };
+        node.log.write(&ServerChanged { server, change, revision: list.revision });
+    }
+    let usable = node.servers.usable();
+    node.channels.sweep(|address| usable.iter().any(|entry| entry.address == address));
+    Ok(())
+}
+
+/// Logs each unreadable entry once.
+fn log_faults(node: &Node, known: &mut Vec<String>, faults: &[(String, String)]) {
+    for (server, fault) in faults {
+        if !known.contains(server) {
+            node.log.write(&ServerEntryUnreadable { server, fault });
+        }
+    }
+    *known = faults.iter().map(|(server, _)| server.clone()).collect();
+}
--- /dev/null
+++ b/crates/fl-kernel/src/forward.rs
@@ -0,0 +1,290 @@
+//! The interfaces between forwarding and the platform it runs on.
+//!
+//! An adapter implements them: it knows names, formats and calls, and decides nothing. See
+//! `docs/design/100-on-the-platform.md`.
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use fl_protocol::forward::{CallHead, RouteTable, ServerEntry, ServerLoad, ServerName};
+use fl_protocol::{DataCenterName, FencingNumber, ServiceName, VmName, WorkspaceName};
+use http::{HeaderMap, Request, StatusCode, request, response};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Grows with each change in the platform's store.
+pub type StoreRevision = u64;
+
+/// Why a call to the platform brought nothing.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
+pub enum PlatformError {
+    /// the platform did not do it: {0}; try again later
+    Refused(String),
+    /// the platform did not answer: {0}; the call may have taken effect or may do so later
+    NoAnswer(String),
+    /// the asked history is gone; read the table whole
+    HistoryGone,
+    /// the platform has seen a greater fencing number; another node holds the duty
+    Stale,
+    /// the platform answered what cannot be read: {0}; the last known state stays in use
+    Unreadable(String),
+}
+
+/// One row of this system's own tables.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredRow {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: String,
+    /// The revision of its last write.
+    pub revision: StoreRevision,
+}
+
+/// What became of a conditional write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// It took effect and the row has this revision.
+    Written(StoreRevision),
+    /// The row was not as expected; this is what it is.
+    Conflict(Option<StoredRow>),
+}
+
+/// What operators declared, as the store has it.
+#[derive(Debug, Clone)]
+pub struct DeclaredTable {
+    /// The table; none when nothing changed, or what was written cannot be read.
+    pub table: Option<RouteTable>,
+    /// What was wrong with a version that cannot be read.
+    pub fault: Option<String>,
+    /// Where to go on.
+    pub revision: StoreRevision,
+}
+
+/// The registry of backend servers at one moment.
+#[derive(Debug, Clone, Default)]
+pub struct ServerList {
+    /// Entries that can be read, sorted by name.
+    pub entries: Vec<ServerEntry>,
+    /// Names and faults of those that cannot.
+    pub faults: Vec<(String, String)>,
+    /// The store's revision.
+    pub revision: StoreRevision,
+}
+
+/// Reads and writes what lasts.
+#[async_trait]
+pub trait PlatformStore: Send + Sync {
+    /// Reads what operators declared, whole.
+    async fn declared(&self) -> Result<DeclaredTable, PlatformError>;
+    /// Waits for a change of what operators declared after a revision.
+    async fn declared_after(
+        &self,
+        revision: StoreRevision,
+        wait: Duration,
+    ) -> Result<DeclaredTable, PlatformError>;
+    /// Reads the registry of backend servers.
+    async fn servers(&self) -> Result<ServerList, PlatformError>;
+    /// Reads all rows of a table of this system, sorted by key.
+    async fn rows(&self, table: &str) -> Result<Vec<StoredRow>, PlatformError>;
+    /// Reads one row.
+    async fn row(&self, table: &str, key: &str) -> Result<Option<StoredRow>, PlatformError>;
+    /// Writes a row if it still has a revision; 0 means that there is no such row.
+    async fn write(
+        &self,
+        table: &str,
+        key: &str,
+        value: &str,
+        expected: StoreRevision,
+    ) -> Result<WriteOutcome, PlatformError>;
+}
+
+/// The right to perform a duty, sent along with each call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DutyToken {
+    /// The node that holds the duty.
+    pub holder: VmName,
+    /// Orders the holders.
+    pub fencing: FencingNumber,
+}
+
+/// An order for the backend servers of a service in one data centre.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FleetOrder {
+    /// The service.
+    pub service: ServiceName,
+    /// The data centre.
+    pub zone: DataCenterName,
+    /// Whether it is for servers that the cloud may take back.
+    pub reclaimable: bool,
+    /// How many there shall be.
+    pub servers: u32,
+}
+
+/// What became of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It was taken.
+    Taken,
+    /// There is no capacity now, or a greater fencing number was seen.
+    Declined,
+}
+
+/// Performs duties at the platform.
+#[async_trait]
+pub trait PlatformDuties: Send + Sync {
+    /// Reports the calls that began to run in one window, by workspace.
+    async fn report_usage(
+        &self,
+        token: &DutyToken,
+        window: u64,
+        counts: &[(WorkspaceName, u64)],
+    ) -> Result<(), PlatformError>;
+    /// Orders backend servers.
+    async fn order(
+        &self,
+        token: &DutyToken,
+        order: &FleetOrder,
+    ) -> Result<OrderOutcome, PlatformError>;
+}
+
+/// What is wrong with a caller's request.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
+pub enum BadCall {
+    /// header {0} is missing or cannot be read
+    Header(String),
+    /// the host is missing or cannot be read
+    Host,
+}
+
+/// How a call is sent to a backend server.
+#[derive(Debug, Clone)]
+pub struct SendOrder {
+    /// The server that is meant; another at its address must not run the call.
+    pub server: ServerName,
+    /// What is left of the caller's time.
+    pub time_left: Duration,
+    /// The workspace of the caller's key.
+    pub workspace: Option<WorkspaceName>,
+    /// The last event the caller has.
+    pub last_event_id: Option<u64>,
+    /// Urgency at model engines, 0 first.
+    pub engine_priority: Option<u8>,
+}
+
+/// What the head of a backend server's answer says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// The status.
+    pub status: StatusCode,
+    /// Whether the answer belongs to the call.
+    pub is_of_call: bool,
+    /// Whether the server says that it did not run the call.
+    pub not_run: bool,
+    /// Whether the server signed the answer.
+    pub is_signed: bool,
+    /// Its load.
+    pub load: Option<ServerLoad>,
+    /// How long it keeps the connection when idle; none if it did not say.
+    pub keep_alive: Option<Duration>,
+}
+
+/// Why a call is refused or failed, and what its caller is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    /// The status.
+    pub status: StatusCode,
+    /// Why, for the caller's people and the logs.
+    pub reason: &'static str,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+/// Translates calls between the wire and the product's types.
+pub trait CallCodec: Send + Sync {
+    /// Reads what a caller asks.
+    fn read_call(&self, head: &request::Parts) -> Result<CallHead, BadCall>;
+    /// Keeps the headers of a call that are passed on to whichever backend server takes it.
+    fn passed_headers(&self, headers: &HeaderMap) -> HeaderMap;
+    /// Writes a call for a backend server.
+    fn server_request(
+        &self,
+        head: &request::Parts,
+        passed: &HeaderMap,
+        body: Bytes,
+        order: &SendOrder,
+    ) -> Result<Request<http_body_util::Full<Bytes>>, http::Error>;
+    /// Reads the head of a backend server's answer to a call.
+    fn read_answer(&self, id: &str, head: &response::Parts) -> AnswerHead;
+    /// Keeps the headers of an answer that are returned to the caller.
+    fn returned_headers(&self, headers: &HeaderMap) -> HeaderMap;
+    /// Headers of an answer of this system's own.
+    fn refusal_headers(&self, id: Option<&str>, refusal: &Refusal) -> HeaderMap;
+}
+
+/// What a forwarding node is set to.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ForwardSettings {
+    /// The VM of the node.
+    pub vm: VmName,
+    /// Its data centre.
+    pub zone: DataCenterName,
+    /// All data centres, sorted.
+    pub zones: Vec<DataCenterName>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the node is ready.
+    pub readiness: SocketAddr,
+    /// Where peers send datagrams.
+    pub peers: SocketAddr,
+    /// Where metrics are read.
+    pub metrics: SocketAddr,
+    /// Memory the process may use.
+    pub memory_bytes: u64,
+    /// Time between two writes of a backend server's registry entry.
+    pub server_heartbeat: Duration,
+    /// Whether the fleet reports usage.
+    pub reports_usage: bool,
+    /// Whether the fleet orders backend servers.
+    pub orders_fleet: bool,
+    /// What was promised.
+    pub bounds: ForwardBounds,
+}
+
+/// Bounds that were promised to operators and callers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ForwardBounds {
+    /// How long a backend server that was told to leave may still get calls.
+    pub drain: Duration,
+    /// How long a node has after it was told to stop.
+    pub grace: Duration,
+    /// How long a key that was taken away may still be honoured.
+    pub revocation: Duration,
+    /// Repeats as a share of the calls of a service.
+    pub repeat_ratio: f64,
+    /// Over which time repeats are counted.
+    pub repeat_window: Duration,
+    /// Repeats of a service that all nodes have besides in that time.
+    pub repeat_slack: f64,
+    /// How long the holder of a duty keeps it without renewing.
+    pub lease: Duration,
+    /// The length of one window of usage.
+    pub usage_window: Duration,
+    /// When the usage of a window is due after its end.
+    pub usage_delay: Duration,
+}
+
+impl Default for ForwardBounds {
+    fn default() -> Self {
+        ForwardBounds {
+            drain: Duration::from_secs(2),
+            grace: Duration::from_secs(8),
+            revocation: Duration::from_secs(5),
+            repeat_ratio: 0.1,
+            repeat_window: Duration::from_secs(10),
+            repeat_slack: 10.0,
+            lease: Duration::from_secs(3),
+            usage_window: Duration::from_secs(5),
+            usage_delay: Duration::from_secs(10),
+        }
+    }
+}
--- a/crates/fl-kernel/src/lib.rs
+++ b/crates/fl-kernel/src/lib.rs
@@ -5,6 +5,7 @@
 //! names of [`names`]. See `docs/design/010-packages.md`.
 
 pub mod clock;
+pub mod forward;
 pub mod life_cycle;
 pub mod names;
 pub mod registry;
--- a/crates/fl-limits/src/lib.rs
+++ b/crates/fl-limits/src/lib.rs
@@ -6,12 +6,16 @@
 pub mod back_off;
 pub mod borrowing;
 pub mod fair_queue;
+pub mod repeat_window;
 pub mod retry_budget;
+pub mod shared_quota;
 pub mod shares;
 pub mod token_bucket;
 pub mod wait;
 
 pub use adaptive_limit::AdaptiveLimit;
 pub use fair_queue::{FairQueue, Ticket};
+pub use repeat_window::RepeatWindow;
 pub use retry_budget::RetryBudget;
+pub use shared_quota::{PeerShare, SharedQuota};
 pub use token_bucket::TokenBucket;
--- a/crates/fl-node/src/options.rs
+++ b/crates/fl-node/src/options.rs
@@ -11,6 +11,9 @@
     /// The settings file, in INI.
     #[options(help = "the settings file (INI); see docs/OPERATING.md", meta = "FILE")]
     pub settings: Option<String>,
+    /// Serves on the users' platform, whose settings file the environment names.
+    #[options(help = "serve on the users' platform; the environment names the settings")]
+    pub platform: bool,
     /// Prints the version.
     #[options(help = "print the version")]
     pub version: bool,
--- a/crates/fl-protocol/src/lib.rs
+++ b/crates/fl-protocol/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod configuration;
 pub mod engine;
 pub mod event;
+pub mod forward;
 pub mod ids;
 pub mod member;
 pub mod platform;
--- a/crates/fl-routing/src/lib.rs
+++ b/crates/fl-routing/src/lib.rs
@@ -2,8 +2,10 @@
 
 pub mod belief;
 pub mod estimate;
+pub mod placement;
 pub mod policy;
 pub mod quarantine;
+pub mod registered;
 pub mod rendezvous;
 pub mod sent;
 pub mod servers;
--- /dev/null
+++ b/crates/fl-routing/src/placement.rs
@@ -0,0 +1,131 @@
+//! Where a forwarded call goes: the server with the least predicted wait.
+//!
+//! Calls that share a prompt part meet at the part's home, as long as reading the part again
+//! elsewhere costs more than the home's queue. All nodes rank homes alike without a message.
+
+use crate::rendezvous::rank;
+use fl_protocol::forward::{ModelCall, ServerEntry};
+
+/// Reading rate assumed before one was observed, in tokens a millisecond.
+const FIRST_READ_RATE: f64 = 50.0;
+/// Weight of the newest observation in the reading rate.
+const RATE_MEMORY: f64 = 0.05;
+/// Reads shorter than this say little about the rate, in tokens.
+const LEARNED_TOKENS: u64 = 1000;
+/// What each running call adds to the first token of a new one, in milliseconds.
+const RUNNING_MS: f64 = 1.0;
+/// What a call to another data centre costs more, in milliseconds.
+const FAR_MS: f64 = 3.0;
+/// What a failure of a server seen lately costs, in milliseconds.
+const SUSPECT_MS: f64 = 400.0;
+/// Calls in flight beyond the slots cost this much each, in milliseconds.
+const QUEUED_MS: f64 = 50.0;
+
+/// What a node knows of one server's load.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ServerPressure {
+    /// Calls of all nodes in flight there.
+    pub in_flight: u32,
+    /// Prompt tokens that it has not read yet.
+    pub unread_tokens: u64,
+    /// How suspect it is, 0 to 1, from failures seen lately.
+    pub suspicion: f64,
+}
+
+/// A server that could take a call.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate<'a> {
+    /// What its entry says.
+    pub entry: &'a ServerEntry,
+    /// The hash of its name, as [`crate::rendezvous::name_hash`] gives it.
+    pub name_hash: u64,
+    /// Its load.
+    pub pressure: ServerPressure,
+}
+
+/// A chosen server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Placement {
+    /// The index among the candidates.
+    pub index: usize,
+    /// The predicted time to the first token or to the start, in milliseconds.
+    pub wait_ms: f64,
+    /// Prompt tokens that it is expected to read.
+    pub read_tokens: u64,
+}
+
+/// The rate at which servers read prompts, as observed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ReadRate {
+    tokens_per_ms: f64,
+}
+
+impl Default for ReadRate {
+    fn default() -> Self {
+        ReadRate { tokens_per_ms: FIRST_READ_RATE }
+    }
+}
+
+impl ReadRate {
+    /// Takes the tokens that were read, with those ahead, until a first token came.
+    pub fn observe(&mut self, tokens: u64, first_token_ms: f64) {
+        if tokens < LEARNED_TOKENS || first_token_ms <= 0.0 {
+            return;
+        }
+        let seen = tokens as f64 / first_token_ms;
+        self.tokens_per_ms += (seen - self.tokens_per_ms) * RATE_MEMORY;
+    }
+
+    /// The time to read tokens, in milliseconds.
+    pub fn read_ms(&self, tokens: u64) -> f64 {
+        tokens as f64 / self.tokens_per_ms.max(f64::MIN_POSITIVE)
+    }
+}
+
+/// Chooses the server with the least predicted wait; `spread` breaks ties, 0 to 1 per candidate.
+pub fn place(
+    call: Option<&ModelCall>,
+    candidates: &[Candidate],
+    own_zone: &str,
+    rate: ReadRate,
+    mut spread: impl FnMut() -> f64,
+) -> Option<Placement> {
+    let shared = call.and_then(ModelCall::shared_part);
+    let home = shared.and_then(|part| home(part.id, candidates));
+    let mut best: Option<(f64, Placement)> = None;
+    for (index, candidate) in candidates.iter().enumerate() {
+        let cached = if home == Some(index) { cached_tokens(call) } else { 0 };
+        let read_tokens = call.map_or(0, |call| call.prompt_tokens.saturating_sub(cached));
+        let wait_ms = wait_ms(candidate, read_tokens, rate);
+        let far_ms = if candidate.entry.zone == own_zone { 0.0 } else { FAR_MS };
+        let cost_ms = wait_ms + far_ms + SUSPECT_MS * candidate.pressure.suspicion + spread();
+        if best.is_none_or(|(least_ms, _)| cost_ms < least_ms) {
+            best = Some((cost_ms, Placement { index, wait_ms, read_tokens }));
+        }
+    }
+    best.map(|(_, placement)| placement)
+}
+
+/// The home of a prompt part among the candidates.
+fn home(part: u64, candidates: &[Candidate]) -> Option<usize> {
+    let ranked = candidates
+        .iter()
+        .enumerate()
+        .map(|(index, candidate)| (rank(part, candidate.name_hash), index));
+    ranked.max().map(|(_, index)| index)
+}
+
+/// Tokens of a call that its home is expected to hold: all parts but the call's own.
+fn cached_tokens(call: Option<&ModelCall>) -> u64 {
+    let parts = call.map_or(&[][..], |call| &call.parts);
+    let shared = parts.len().saturating_sub(1);
+    parts[..shared].iter().map(|part| part.tokens).sum()
+}
+
+fn wait_ms(candidate: &Candidate, read_tokens: u64, rate: ReadRate) -> f64 {
+    let pressure = &candidate.pressure;
+    let reading_ms = rate.read_ms(pressure.unread_tokens + read_tokens);
+    let slots = candidate.entry.slots.max(1);
+    let queued = (pressure.in_flight + 1).saturating_sub(slots);
+    reading_ms + RUNNING_MS * f64::from(pressure.in_flight) + QUEUED_MS * f64::from(queued)
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,13 +4,19 @@
 use gumdrop::Options as _;
 use std::process::ExitCode;
 
+mod on_platform;
+
 fn main() -> ExitCode {
     let options = NodeOptions::parse_args_default_or_exit();
     if options.version {
         println!("filbertlead {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    match fl_node::start(&options) {
+    let outcome = match options.platform {
+        true => on_platform::run(),
+        false => fl_node::start(&options).map_err(|error| error.to_string()),
+    };
+    match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error}");
