Order reclaimable servers by demand, and hold quotas as one believed bucket

Ruled out: more servers (the desk questions that were late stood behind prompts of up to 54,000 tokens).

--- a/crates/fl-fleet/src/lib.rs
+++ b/crates/fl-fleet/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod offers;
 pub mod orders;
 pub mod placement;
+pub mod scaling;
 
 pub use lease::{Claim, Held, Lease, LeaseError, LeaseRow, Observed, Renewal};
--- /dev/null
+++ b/crates/fl-fleet/src/scaling.rs
@@ -0,0 +1,91 @@
+//! How many backend servers of a service to order in each data centre.
+//!
+//! Servers that the cloud may take back cost a fraction of lasting ones but leave a data centre all
+//! at once. So they are spread until the loss of any one data centre leaves enough, and lasting
+//! servers only fill what is missing until reclaimable ones are to be had again.
+
+use fl_protocol::DataCenterName;
+use fl_protocol::forward::ScalingFacts;
+
+/// Reclaimable servers are preferred up to this price, as a share of a lasting server's; above it
+/// the spare ones for a lost data centre eat up what they save.
+const RECLAIMABLE_PRICE_MAX: f64 = 0.6;
+
+/// What a data centre has of a service.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ZoneFleet {
+    /// The data centre.
+    pub zone: DataCenterName,
+    /// Lasting servers that take calls.
+    pub lasting: u32,
+    /// Reclaimable servers that take calls.
+    pub reclaimable: u32,
+    /// Whether reclaimable servers were refused there lately.
+    pub is_dry: bool,
+}
+
+/// What a data centre shall have of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ZoneOrder {
+    /// The data centre.
+    pub zone: DataCenterName,
+    /// Lasting servers.
+    pub lasting: u32,
+    /// Reclaimable servers.
+    pub reclaimable: u32,
+}
+
+/// Plans the fleet of a service for a demand of `needed` busy servers.
+pub fn plan(facts: &ScalingFacts, zones: &[ZoneFleet], needed: f64) -> Vec<ZoneOrder> {
+    let reclaimable = reclaimable_per_zone(facts, zones.len(), needed);
+    let mut orders: Vec<ZoneOrder> = zones
+        .iter()
+        .map(|fleet| ZoneOrder { zone: fleet.zone.clone(), lasting: 0, reclaimable })
+        .collect();
+    let ready: u32 = zones.iter().map(|fleet| fleet.reclaimable.min(reclaimable)).sum();
+    let missing = (needed.ceil() as u32).saturating_sub(ready);
+    add_lasting(facts, zones, &mut orders, missing);
+    for (order, fleet) in orders.iter_mut().zip(zones) {
+        let least = facts.servers_min.saturating_sub(fleet.reclaimable.min(order.reclaimable));
+        order.lasting = order.lasting.max(least);
+    }
+    orders
+}
+
+/// Enough in each data centre that all but one of them carry the demand.
+fn reclaimable_per_zone(facts: &ScalingFacts, zones: usize, needed: f64) -> u32 {
+    let is_cheap = facts.reclaimable_price.is_some_and(|price| price <= RECLAIMABLE_PRICE_MAX);
+    if !is_cheap || zones == 0 {
+        return 0;
+    }
+    let left = zones.saturating_sub(1).max(1) as f64;
+    let each = (needed / left).ceil() as u32;
+    each.clamp(facts.servers_min.max(1), facts.servers_max.max(1))
+}
+
+/// Spreads lasting servers over the data centres, one after the other, the cheapest first.
+fn add_lasting(facts: &ScalingFacts, zones: &[ZoneFleet], orders: &mut [ZoneOrder], missing: u32) {
+    let mut by_price: Vec<usize> = (0..orders.len()).collect();
+    by_price.sort_by(|a, b| price(facts, &orders[*a]).total_cmp(&price(facts, &orders[*b])));
+    let mut left = missing;
+    while left > 0 {
+        let before = left;
+        for index in &by_price {
+            let order = &mut orders[*index];
+            // A place that reclaimable servers do not take is free for a lasting one.
+            let taken = zones[*index].reclaimable.min(order.reclaimable);
+            if left > 0 && order.lasting + taken < facts.servers_max {
+                order.lasting += 1;
+                left -= 1;
+            }
+        }
+        if left == before {
+            return;
+        }
+    }
+}
+
+fn price(facts: &ScalingFacts, order: &ZoneOrder) -> f64 {
+    let place = facts.zone_prices.binary_search_by(|(zone, _)| zone.cmp(&order.zone));
+    place.map_or(1.0, |place| facts.zone_prices[place].1)
+}
--- a/crates/fl-forward/src/admit.rs
+++ b/crates/fl-forward/src/admit.rs
@@ -2,8 +2,8 @@
 
 use crate::clock::boot_time;
 use crate::node::Node;
-use fl_kernel::forward::Refusal;
-use fl_limits::{PeerShare, SharedQuota};
+use fl_kernel::forward::{ForwardBounds, Refusal};
+use fl_limits::{QuotaLimit, QuotaReport, SharedQuota};
 use fl_protocol::WorkspaceName;
 use fl_protocol::forward::{CallHead, KeyedWorkspace, Route, RouteTable};
 use http::StatusCode;
@@ -15,6 +15,9 @@
 /// How long before a key may have lost its force this node stops honouring keys when it cannot
 /// read what is declared; covers the way of a request to this node.
 const REVOCATION_MARGIN: Duration = Duration::from_millis(300);
+/// The part of a quota's promised tolerance that admission uses; the rest covers what nodes that do
+/// not hear of each other take at the same time.
+const USED_TOLERANCE: f64 = 0.7;
 /// When to come back to a node that knows too little.
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
 
@@ -39,52 +42,61 @@
     quotas: Mutex<Vec<(WorkspaceName, SharedQuota)>>,
 }
 
-/// This node's part of one workspace's quota, as peers are told.
+/// What peers are told of one workspace's quota.
 #[derive(Debug, Clone, PartialEq)]
-pub struct OwnShare {
+pub struct WorkspaceReport {
     /// The workspace.
     pub workspace: WorkspaceName,
-    /// Weight and demand.
-    pub share: PeerShare,
+    /// What was taken and the level.
+    pub report: QuotaReport,
 }
 
 impl Quotas {
     /// Takes the quotas of a new table.
-    pub fn table_changed(&self, table: &RouteTable, nodes: usize) {
+    pub fn table_changed(&self, table: &RouteTable, bounds: &ForwardBounds) {
         let now = boot_time();
         let mut quotas = self.quotas.lock();
-        let mut limited: Vec<&KeyedWorkspace> =
-            table.workspaces.iter().filter(|workspace| workspace.quota_per_s > 0.0).collect();
-        limited.sort_by(|a, b| a.name.cmp(&b.name));
-        quotas.retain(|(name, _)| limited.binary_search_by(|w| w.name.cmp(name)).is_ok());
+        let limited = |workspace: &&KeyedWorkspace| workspace.quota_per_s > 0.0;
+        let limited: Vec<&KeyedWorkspace> = table.workspaces.iter().filter(limited).collect();
+        quotas.retain(|(name, _)| limited.iter().any(|workspace| workspace.name == *name));
         for workspace in limited {
-            let (rate, burst) = (workspace.quota_per_s, workspace.quota_burst);
+            let limit = quota_limit(workspace, bounds);
             match quotas.binary_search_by(|(name, _)| name.cmp(&workspace.name)) {
-                Ok(place) => quotas[place].1.set_quota(rate, burst, now),
+                Ok(place) => quotas[place].1.set_limit(limit, now),
                 Err(place) => {
-                    let quota = SharedQuota::new(rate, burst, nodes, now);
-                    quotas.insert(place, (workspace.name.clone(), quota));
+                    quotas.insert(place, (workspace.name.clone(), SharedQuota::new(limit, now)));
                 }
             }
         }
     }
 
-    /// Moves this node's parts towards its share of the demand.
-    pub fn rebalance(&self, peers_of: impl Fn(&str) -> Vec<PeerShare>) {
+    /// What this node tells its peers.
+    pub fn reports(&self) -> Vec<WorkspaceReport> {
         let now = boot_time();
-        for (name, quota) in self.quotas.lock().iter_mut() {
-            quota.rebalance(&peers_of(name), now);
+        let mut quotas = self.quotas.lock();
+        let reports = quotas.iter_mut().map(|(name, quota)| WorkspaceReport {
+            workspace: name.clone(),
+            report: quota.report(now),
+        });
+        reports.collect()
+    }
+
+    /// Takes what one life of a peer tells.
+    pub fn hear(&self, peer: u64, reports: &[WorkspaceReport]) {
+        let now = boot_time();
+        let mut quotas = self.quotas.lock();
+        for told in reports {
+            if let Ok(place) = quotas.binary_search_by(|(name, _)| name.cmp(&told.workspace)) {
+                quotas[place].1.hear(peer, told.report, now);
+            }
         }
     }
 
-    /// What this node holds.
-    pub fn own_shares(&self) -> Vec<OwnShare> {
-        let quotas = self.quotas.lock();
-        let shares = quotas.iter().map(|(name, quota)| OwnShare {
-            workspace: name.clone(),
-            share: PeerShare { weight: quota.weight(), demand_per_s: quota.demand_per_s() },
-        });
-        shares.collect()
+    /// Forgets peers that may take nothing any more.
+    pub fn forget(&self, may_take: impl Fn(u64) -> bool) {
+        for (_, quota) in self.quotas.lock().iter_mut() {
+            quota.forget(&may_take);
+        }
     }
 
     fn try_take(&self, workspace: &str, units: f64) -> Result<(), Duration> {
@@ -96,6 +108,19 @@
     }
 }
 
+/// What a quota allows, with the part of the promised tolerance that nodes need to know late of
+/// each other.
+fn quota_limit(workspace: &KeyedWorkspace, bounds: &ForwardBounds) -> QuotaLimit {
+    let promised =
+        workspace.quota_per_s * bounds.quota_window.as_secs_f64() + workspace.quota_burst;
+    let tolerance = promised * bounds.quota_overshoot + bounds.quota_slack;
+    QuotaLimit {
+        rate_per_s: workspace.quota_per_s,
+        burst: workspace.quota_burst,
+        tolerance: tolerance * USED_TOLERANCE,
+    }
+}
+
 /// Takes a call or says why not.
 pub fn admit(node: &Node, head: &CallHead, received_at: Instant) -> Result<Admitted, Refusal> {
     let table = node.declared.table();
--- a/crates/fl-forward/src/drive.rs
+++ b/crates/fl-forward/src/drive.rs
@@ -23,6 +23,10 @@
 const UNREACHED_MAX: usize = 3;
 /// Less time than this is not worth sending a call for.
 const LEAST_TIME: Duration = Duration::from_millis(5);
+/// Targets of first tokens that part calls of one rank by urgency at a model engine.
+const TARGET_BANDS: [Duration; 2] = [Duration::from_millis(500), Duration::from_millis(2000)];
+/// The least urgent priority of model engines.
+const LEAST_ENGINE_PRIORITY: u8 = 9;
 /// When to come back after all places were taken.
 const FULL_RETRY: Duration = Duration::from_millis(250);
 
@@ -258,7 +262,7 @@
             time_left: call.admitted.deadline.saturating_duration_since(Instant::now()),
             workspace: call.admitted.workspace.clone(),
             last_event_id,
-            engine_priority: call.head.model.as_ref().map(|_| call.admitted.priority.min(9)),
+            engine_priority: call.head.model.as_ref().map(|_| engine_priority(&call.admitted)),
         };
         let request =
             node.ports.codec.server_request(&call.parts, &call.passed, call.body.clone(), &order);
@@ -280,6 +284,16 @@
     }
 }
 
+/// Urgency at a model engine: the call's rank first, then how soon its first token is due.
+///
+/// A short question that waits behind the reading of a long prompt is late, but a long prompt hardly
+/// notices a short question.
+fn engine_priority(admitted: &Admitted) -> u8 {
+    let by_target = TARGET_BANDS.iter().filter(|band| admitted.route.target > **band).count() as u8;
+    let bands = TARGET_BANDS.len() as u8 + 1;
+    (admitted.priority.saturating_mul(bands) + by_target).min(LEAST_ENGINE_PRIORITY)
+}
+
 async fn open(address: std::net::SocketAddr) -> Result<Channel, SendError> {
     metrics::counter!("fl_connections_opened_total").increment(1);
     Channel::open(address).await
--- a/crates/fl-forward/src/duty.rs
+++ b/crates/fl-forward/src/duty.rs
@@ -3,6 +3,7 @@
 //! The right to perform them is a lease row in the platform's store. A holder counts its validity
 //! from before each renewal was sent, on a clock that goes on while the VM is suspended.
 
+mod fleet;
 mod reports;
 
 use crate::clock::boot_time;
@@ -26,6 +27,13 @@
     held: Mutex<Option<(Lease<Held>, u64)>>,
 }
 
+/// What a holder remembers of its duties.
+#[derive(Default)]
+struct Work {
+    reports: reports::Reports,
+    orders: fleet::Orders,
+}
+
 /// The lease as this node sees it.
 enum View {
     Watching(Lease<Observed>),
@@ -47,11 +55,11 @@
     }
     let own = node.settings.vm.clone();
     let mut view = View::Watching(Lease::new(&own, node.settings.bounds.lease, boot_time()));
-    let mut reports = reports::Reports::default();
+    let mut work = Work::default();
     while node.pause(LOOK_INTERVAL).await.is_some() {
         view = match view {
             View::Watching(lease) => watch(&node, lease).await,
-            View::Holding(lease) => hold(&node, lease, &mut reports).await,
+            View::Holding(lease) => hold(&node, lease, &mut work).await,
         };
         let held = match &view {
             View::Holding(lease) => Some((lease.clone(), rand::random())),
@@ -97,19 +105,13 @@
     }
 }
 
-async fn hold(node: &Node, lease: Lease<Held>, reports: &mut reports::Reports) -> View {
+async fn hold(node: &Node, lease: Lease<Held>, work: &mut Work) -> View {
     let Ok(fencing) = lease.fencing(boot_time()) else {
         return View::Watching(lost(node, lease, None));
     };
     let token = DutyToken { holder: node.settings.vm.clone(), fencing };
-    if node.settings.reports_usage
-        && let Err(error) = reports::perform(node, &token, reports).await
-    {
-        let is_stale = error == PlatformError::Stale;
-        node.log.write(&DutyFailed { duty: "usage report", error: error.to_string() });
-        if is_stale {
-            return View::Watching(lost(node, lease, None));
-        }
+    if let Err(PlatformError::Stale) = work.perform(node, &token).await {
+        return View::Watching(lost(node, lease, None));
     }
     if !lease.is_renewal_due(boot_time()) {
         return View::Holding(lease);
@@ -117,6 +119,31 @@
     renew(node, lease).await
 }
 
+impl Work {
+    async fn perform(&mut self, node: &Node, token: &DutyToken) -> Result<(), PlatformError> {
+        if node.settings.reports_usage {
+            let done = reports::perform(node, token, &mut self.reports).await;
+            note_failure(node, "usage report", done)?;
+        }
+        if node.settings.orders_fleet {
+            let done = fleet::perform(node, token, &mut self.orders).await;
+            note_failure(node, "fleet order", done)?;
+        }
+        Ok(())
+    }
+}
+
+/// Logs a failure; only a greater fencing number ends the work of a holder.
+fn note_failure(
+    node: &Node,
+    duty: &'static str,
+    done: Result<(), PlatformError>,
+) -> Result<(), PlatformError> {
+    let Err(error) = done else { return Ok(()) };
+    node.log.write(&DutyFailed { duty, error: error.to_string() });
+    if error == PlatformError::Stale { Err(error) } else { Ok(()) }
+}
+
 async fn renew(node: &Node, lease: Lease<Held>) -> View {
     let claim = lease.renewal(rand::random());
     let sent_at = boot_time();
--- a/crates/fl-forward/src/node.rs
+++ b/crates/fl-forward/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::admit::Quotas;
 use crate::channels::ChannelPool;
+use crate::clock::boot_time;
 use crate::declared::Declared;
 use crate::drive::Repeats;
 use crate::duty::DutyState;
@@ -53,6 +54,8 @@
     pub closing: CancellationToken,
     /// Is cancelled when every task has to end.
     pub cancel: CancellationToken,
+    /// When it started, on the boot clock.
+    pub started_at: Duration,
     leaving: AtomicBool,
     calls: AtomicUsize,
 }
@@ -77,6 +80,7 @@
             duty: DutyState::default(),
             closing: CancellationToken::new(),
             cancel: CancellationToken::new(),
+            started_at: boot_time(),
             leaving: AtomicBool::new(false),
             calls: AtomicUsize::new(0),
         }
@@ -109,7 +113,7 @@
 
     /// Takes word that a new table is in force.
     pub fn table_changed(&self) {
-        self.quotas.table_changed(&self.declared.table(), self.peers.nodes());
+        self.quotas.table_changed(&self.declared.table(), &self.settings.bounds);
     }
 }
 
--- a/crates/fl-forward/src/peers.rs
+++ b/crates/fl-forward/src/peers.rs
@@ -4,7 +4,7 @@
 //! number. A lost datagram is made good by the next. Nodes find each other through rows in the
 //! platform's store; a node that a datagram came from is known as well.
 
-use crate::admit::OwnShare;
+use crate::admit::WorkspaceReport;
 use crate::clock::boot_time;
 use crate::log::event::{DependencyLost, PeerChanged};
 use crate::node::Node;
@@ -12,8 +12,8 @@
 use crate::usage::WindowCounts;
 use fl_kernel::clock::unix_ms;
 use fl_kernel::forward::{ForwardSettings, StoreRevision, WriteOutcome};
-use fl_limits::PeerShare;
-use fl_protocol::{DataCenterName, VmName, WorkspaceName};
+use fl_limits::QuotaReport;
+use fl_protocol::{DataCenterName, ServiceName, VmName, WorkspaceName, hash64};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -61,8 +61,10 @@
     pub duty_fencing: Option<u64>,
     /// Calls at servers: hash of the name, calls, unread tokens.
     pub loads: Vec<(u64, u32, u64)>,
-    /// Parts of quotas: workspace, weight, demand.
-    pub shares: Vec<(WorkspaceName, f64, f64)>,
+    /// Quotas: workspace, units taken, level.
+    pub quotas: Vec<(WorkspaceName, f64, f64)>,
+    /// Prompt tokens sent to be read since its process started, by service.
+    pub demand: Vec<(ServiceName, u64)>,
     /// Calls that began to run, by window.
     pub usage: Vec<WindowCounts>,
 }
@@ -202,18 +204,19 @@
         sums
     }
 
-    /// What peers that may admit calls hold of a workspace's quota.
-    fn shares(&self, workspace: &str) -> Vec<PeerShare> {
+    /// Lives of peers that may still admit calls.
+    fn admitting(&self) -> Vec<u64> {
         let now = boot_time();
         let state = self.state.lock();
         let admitting = state.peers.iter().filter(|peer| peer.may_admit(now));
-        let shares = admitting.map(|peer| {
-            let held = peer.report.shares.iter().find(|(name, _, _)| name == workspace);
-            held.map_or(PeerShare { weight: 0.0, demand_per_s: 0.0 }, |(_, weight, demand)| {
-                PeerShare { weight: *weight, demand_per_s: *demand }
-            })
-        });
-        shares.collect()
+        admitting.map(|peer| life(&peer.report)).collect()
+    }
+
+    /// Tokens that all other nodes sent to be read, by service.
+    pub fn demand(&self, service: &str) -> u64 {
+        let state = self.state.lock();
+        let told = state.peers.iter().flat_map(|peer| &peer.report.demand);
+        told.filter(|(name, _)| name == service).map(|(_, tokens)| tokens).sum()
     }
 
     fn addresses(&self) -> Vec<SocketAddr> {
@@ -256,7 +259,8 @@
             node.log.write(&PeerChanged { peer: &peer, change: "silent", silent_ms });
         }
         node.servers.set_peers_load(&node.peers.loads());
-        node.quotas.rebalance(|workspace| node.peers.shares(workspace));
+        let admitting = node.peers.admitting();
+        node.quotas.forget(|peer| admitting.contains(&peer));
         let report = own_report(&node);
         if let Ok(bytes) = postcard::to_stdvec(&report) {
             for address in node.peers.addresses() {
@@ -276,7 +280,7 @@
     let (sequence, started_ms) = (state.sequence, state.started_ms);
     drop(state);
     let loads = node.servers.own_load().into_iter();
-    let shares = node.quotas.own_shares().into_iter();
+    let quotas = node.quotas.reports().into_iter();
     Report {
         vm: node.settings.vm.clone(),
         zone: node.settings.zone.clone(),
@@ -286,13 +290,19 @@
         admits: !node.is_leaving(),
         duty_fencing: node.duty.fencing(),
         loads: loads.map(|load| (load.server, load.in_flight, load.unread_tokens)).collect(),
-        shares: shares.map(share_entry).collect(),
+        quotas: quotas.map(quota_entry).collect(),
+        demand: node.servers.demand(),
         usage: node.usage.all(),
     }
 }
 
-fn share_entry(own: OwnShare) -> (WorkspaceName, f64, f64) {
-    (own.workspace, own.share.weight, own.share.demand_per_s)
+fn quota_entry(own: WorkspaceReport) -> (WorkspaceName, f64, f64) {
+    (own.workspace, own.report.taken, own.report.level)
+}
+
+/// Names one life of a node's process.
+fn life(report: &Report) -> u64 {
+    hash64(&[report.vm.as_bytes(), &report.started_ms.to_be_bytes()])
 }
 
 /// Hears the peers until the node ends.
@@ -307,6 +317,11 @@
         };
         node.declared.hear_of(report.table_version);
         let vm = report.vm.clone();
+        let told = report.quotas.iter().map(|(workspace, taken, level)| WorkspaceReport {
+            workspace: workspace.clone(),
+            report: QuotaReport { taken: *taken, level: *level },
+        });
+        node.quotas.hear(life(&report), &told.collect::<Vec<_>>());
         if let Some(silence) = node.peers.take(from, report) {
             let silent_ms = silence.as_millis() as u64;
             node.log.write(&PeerChanged { peer: &vm, change: "heard", silent_ms });
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -3,6 +3,7 @@
 use crate::clock::boot_time;
 use crate::log::event::{DependencyLost, DependencyRegained, ServerChanged, ServerEntryUnreadable};
 use crate::node::Node;
+use fl_protocol::ServiceName;
 use fl_protocol::forward::{ModelCall, ServerEntry, ServerName};
 use fl_routing::placement::{Candidate, Placement, ReadRate, ServerPressure, place};
 use fl_routing::registered::{RegisteredServers, RegistryChange};
@@ -33,6 +34,8 @@
     /// Sorted by name.
     known: Vec<Known>,
     rate: ReadRate,
+    /// Prompt tokens sent to be read, by service, sorted.
+    demand: Vec<(ServiceName, u64)>,
     faults: Vec<String>,
 }
 
@@ -76,6 +79,8 @@
     node: Arc<Node>,
     server: ServerName,
     unread_tokens: u64,
+    /// Whether the server had nothing else to read, so that its pace can be learned.
+    is_alone: bool,
 }
 
 impl Servers {
@@ -123,6 +128,16 @@
         .collect()
     }
 
+    /// Prompt tokens that this node sent to be read, by service.
+    pub fn demand(&self) -> Vec<(ServiceName, u64)> {
+        self.state.lock().demand.clone()
+    }
+
+    /// The rate at which servers read prompts.
+    pub fn read_rate(&self) -> ReadRate {
+        self.state.lock().rate
+    }
+
     /// Takes the sums of what the peers told, sorted by the server's hash.
     pub fn set_peers_load(&self, loads: &[OwnLoad]) {
         let mut state = self.state.lock();
@@ -143,6 +158,14 @@
         });
     }
 
+    fn count_demand(&self, service: &str, tokens: u64) {
+        let mut state = self.state.lock();
+        match state.demand.binary_search_by(|(name, _)| name.as_str().cmp(service)) {
+            Ok(place) => state.demand[place].1 += tokens,
+            Err(place) => state.demand.insert(place, (service.to_string(), tokens)),
+        }
+    }
+
     fn with_known(&self, server: &str, act: impl FnOnce(&mut Known)) {
         let mut state = self.state.lock();
         let place = state.known.binary_search_by(|known| known.name.as_str().cmp(server));
@@ -213,15 +236,19 @@
             known.in_flight += 1;
             known.unread_tokens += unread_tokens;
         });
-        InFlight { node: node.clone(), server: chosen.entry.name.clone(), unread_tokens }
+        node.servers.count_demand(&chosen.entry.service, unread_tokens);
+        let is_alone = chosen.in_flight == 0;
+        InFlight { node: node.clone(), server: chosen.entry.name.clone(), unread_tokens, is_alone }
     }
 
     /// Takes word that the first token came: the prompt was read.
-    pub fn first_token(&mut self, tokens_ahead: u64, after: Duration) {
+    pub fn first_token(&mut self, after: Duration) {
         let read = std::mem::take(&mut self.unread_tokens);
         self.node.servers.with_known(&self.server, |known| known.unread_tokens -= read);
-        let first_token_ms = after.as_secs_f64() * 1000.0;
-        self.node.servers.state.lock().rate.observe(read + tokens_ahead, first_token_ms);
+        if self.is_alone {
+            let first_token_ms = after.as_secs_f64() * 1000.0;
+            self.node.servers.state.lock().rate.observe(read, first_token_ms);
+        }
     }
 }
 
--- a/crates/fl-kernel/src/forward.rs
+++ b/crates/fl-kernel/src/forward.rs
@@ -265,6 +265,12 @@
     pub repeat_window: Duration,
     /// Repeats of a service that all nodes have besides in that time.
     pub repeat_slack: f64,
+    /// Over which time the use of quotas is counted.
+    pub quota_window: Duration,
+    /// Share of a quota by which its use may exceed it.
+    pub quota_overshoot: f64,
+    /// Units by which the use of a quota may exceed it besides.
+    pub quota_slack: f64,
     /// How long the holder of a duty keeps it without renewing.
     pub lease: Duration,
     /// The length of one window of usage.
@@ -282,6 +288,9 @@
             repeat_ratio: 0.1,
             repeat_window: Duration::from_secs(10),
             repeat_slack: 10.0,
+            quota_window: Duration::from_secs(8),
+            quota_overshoot: 0.0,
+            quota_slack: 0.0,
             lease: Duration::from_secs(3),
             usage_window: Duration::from_secs(5),
             usage_delay: Duration::from_secs(10),
--- a/crates/fl-limits/src/shared_quota.rs
+++ b/crates/fl-limits/src/shared_quota.rs
@@ -1,132 +1,132 @@
-//! One workspace's quota over all nodes: each node holds a weight of it, by demand.
+//! One workspace's quota over all nodes, as each node believes its level.
 //!
-//! Nodes tell each other their weights and demands. A node may lower its weight at any time and
-//! raises it only into what the others do not hold, so that the sum stays near one while news
-//! travels. What a node that fell silent holds stays reserved until it must have stopped by itself.
+//! Each node tells the others how much it took in all. So every node holds the same bucket, but for
+//! what the others took since they last spoke; that much is assumed from their pace. A node that
+//! fell silent is assumed to go on as before, on either side of a cut.
 
 use std::time::Duration;
 
-/// Weight of the newest second in the mean demand.
-const DEMAND_MEMORY: Duration = Duration::from_millis(1000);
-/// The share of a quota that every node keeps at least of its even part, so that a burst that
-/// comes first to one node finds something.
-const FLOOR_SHARE: f64 = 0.25;
+/// Time over which a peer's pace is averaged.
+const PACE_MEMORY: Duration = Duration::from_millis(1500);
+/// The longest time to come back that callers are told; quotas may change meanwhile.
+const RETRY_MAX: Duration = Duration::from_secs(10);
 
-/// What another node holds and asks for.
+/// What a quota allows.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct PeerShare {
-    /// The weight it holds, 0 to 1.
-    pub weight: f64,
-    /// Units a second its callers ask for.
-    pub demand_per_s: f64,
+pub struct QuotaLimit {
+    /// Units a second over all nodes.
+    pub rate_per_s: f64,
+    /// Units that may be saved up.
+    pub burst: f64,
+    /// Units beyond the burst that may be taken, since nodes know late of each other.
+    pub tolerance: f64,
 }
 
-/// This node's part of one workspace's quota.
+/// What a node tells of one quota.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaReport {
+    /// Units taken there since its process started.
+    pub taken: f64,
+    /// The level it believes in.
+    pub level: f64,
+}
+
+/// A peer's part in a quota.
+#[derive(Debug, Clone)]
+struct PeerPace {
+    peer: u64,
+    taken: f64,
+    pace_per_s: f64,
+    heard_at: Duration,
+}
+
+/// One quota at one node.
 #[derive(Debug, Clone)]
 pub struct SharedQuota {
-    rate_per_s: f64,
-    burst: f64,
-    weight: f64,
+    limit: QuotaLimit,
     level: f64,
-    demand_per_s: f64,
-    asked: f64,
-    demand_since: Duration,
+    taken: f64,
     as_of: Duration,
+    /// Sorted by peer.
+    peers: Vec<PeerPace>,
 }
 
 impl SharedQuota {
-    /// Starts with an even part of a quota.
-    pub fn new(rate_per_s: f64, burst: f64, nodes: usize, now: Duration) -> Self {
-        let weight = 1.0 / nodes.max(1) as f64;
-        SharedQuota {
-            rate_per_s,
-            burst,
-            weight,
-            level: burst * weight,
-            demand_per_s: 0.0,
-            asked: 0.0,
-            demand_since: now,
-            as_of: now,
-        }
+    /// Starts with a full bucket.
+    pub fn new(limit: QuotaLimit, now: Duration) -> Self {
+        SharedQuota { limit, level: limit.burst, taken: 0.0, as_of: now, peers: Vec::new() }
     }
 
-    /// Takes a new version of the quota.
-    pub fn set_quota(&mut self, rate_per_s: f64, burst: f64, now: Duration) {
+    /// Takes a new version of the quota; a greater burst may be used at once.
+    pub fn set_limit(&mut self, limit: QuotaLimit, now: Duration) {
         self.refill(now);
-        self.rate_per_s = rate_per_s;
-        self.burst = burst;
-        self.level = self.level.min(self.burst * self.weight);
+        let more = (limit.burst - self.limit.burst).max(0.0);
+        self.level = (self.level + more).min(limit.burst);
+        self.limit = limit;
     }
 
-    /// The weight this node holds.
-    pub fn weight(&self) -> f64 {
-        self.weight
+    /// What the peers are told.
+    pub fn report(&mut self, now: Duration) -> QuotaReport {
+        self.refill(now);
+        QuotaReport { taken: self.taken, level: self.level }
+    }
+
+    /// Takes a peer's report; `peer` names one life of its process.
+    ///
+    /// A node that hears of a peer for the first time knows nothing of what all took before, so it
+    /// takes the peer's word for the level if that is lower.
+    pub fn hear(&mut self, peer: u64, report: QuotaReport, now: Duration) {
+        self.refill(now);
+        let place = self.peers.binary_search_by_key(&peer, |known| known.peer);
+        let Ok(place) = place else {
+            let pace = PeerPace { peer, taken: report.taken, pace_per_s: 0.0, heard_at: now };
+            self.peers.insert(place.unwrap_or_else(|place| place), pace);
+            self.level = self.level.min(report.level);
+            return;
+        };
+        let known = &mut self.peers[place];
+        let elapsed_s = now.saturating_sub(known.heard_at).as_secs_f64().max(0.001);
+        let took = (report.taken - known.taken).max(0.0);
+        let share = (elapsed_s / PACE_MEMORY.as_secs_f64()).min(1.0);
+        known.pace_per_s += (took / elapsed_s - known.pace_per_s) * share;
+        known.taken = report.taken;
+        known.heard_at = now;
+        self.level -= took;
     }
 
-    /// Units a second this node's callers ask for.
-    pub fn demand_per_s(&self) -> f64 {
-        self.demand_per_s
+    /// Forgets peers that may take nothing any more; `may_take` judges them.
+    pub fn forget(&mut self, may_take: impl Fn(u64) -> bool) {
+        self.peers.retain(|known| may_take(known.peer));
     }
 
-    /// Takes units if this node's part has them; otherwise says when to come back.
+    /// Takes units if the quota has them; otherwise says when to come back.
     ///
-    /// A call of more units than the part ever holds is let through from a full part and paid off
-    /// afterwards, since it could otherwise never pass.
+    /// A call of more units than the bucket ever holds is let through from a full bucket and paid
+    /// off afterwards, since it could otherwise never pass.
     pub fn try_take(&mut self, units: f64, now: Duration) -> Result<(), Duration> {
-        self.asked += units;
         self.refill(now);
-        let needed = units.min(self.burst * self.weight);
-        if self.level >= needed {
+        let free = self.level - self.assumed(now) + self.limit.tolerance;
+        let needed = units.min(self.limit.burst + self.limit.tolerance);
+        if free >= needed {
             self.level -= units;
+            self.taken += units;
             return Ok(());
         }
-        let refill_per_s = (self.rate_per_s * self.weight).max(f64::MIN_POSITIVE);
-        let wait_s = ((needed - self.level) / refill_per_s).min(60.0);
-        Err(Duration::from_secs_f64(wait_s))
-    }
-
-    /// Moves this node's weight towards its share of the demand.
-    ///
-    /// `peers` holds the last word of every other node that may still admit calls.
-    pub fn rebalance(&mut self, peers: &[PeerShare], now: Duration) {
-        self.refill(now);
-        self.measure_demand(now);
-        let held: f64 = peers.iter().map(|peer| peer.weight).sum();
-        let asked: f64 = peers.iter().map(|peer| peer.demand_per_s).sum();
-        let nodes = (peers.len() + 1) as f64;
-        let floor = FLOOR_SHARE / nodes;
-        let total = asked + self.demand_per_s;
-        let by_demand = if total > 0.0 { self.demand_per_s / total } else { 1.0 / nodes };
-        let wanted = floor + (1.0 - FLOOR_SHARE) * by_demand;
-        let free = (1.0 - held).max(0.0);
-        let next = if wanted <= self.weight { wanted } else { wanted.min(free.max(floor)) };
-        self.set_weight(next);
+        let refill_s = (needed - free) / self.limit.rate_per_s.max(f64::MIN_POSITIVE);
+        Err(Duration::from_secs_f64(refill_s.min(RETRY_MAX.as_secs_f64())))
     }
 
-    fn set_weight(&mut self, weight: f64) {
-        // Lowering the weight gives up its part of what was saved; raising it saves nothing yet.
-        if weight < self.weight && self.level > 0.0 {
-            self.level *= weight / self.weight;
-        }
-        self.weight = weight;
-    }
-
-    fn measure_demand(&mut self, now: Duration) {
-        let elapsed = now.saturating_sub(self.demand_since);
-        if elapsed.is_zero() {
-            return;
-        }
-        let newest = self.asked / elapsed.as_secs_f64();
-        let share = (elapsed.as_secs_f64() / DEMAND_MEMORY.as_secs_f64()).min(1.0);
-        self.demand_per_s += (newest - self.demand_per_s) * share;
-        self.asked = 0.0;
-        self.demand_since = now;
+    /// Units that the peers are assumed to have taken since they last spoke.
+    fn assumed(&self, now: Duration) -> f64 {
+        let of_peer =
+            |known: &PeerPace| known.pace_per_s * now.saturating_sub(known.heard_at).as_secs_f64();
+        self.peers.iter().map(of_peer).sum()
     }
 
     fn refill(&mut self, now: Duration) {
         let elapsed_s = now.saturating_sub(self.as_of).as_secs_f64();
         self.as_of = self.as_of.max(now);
-        let refilled = self.level + self.rate_per_s * self.weight * elapsed_s;
-        self.level = refilled.min(self.burst * self.weight);
+        let refilled = self.level + self.limit.rate_per_s * elapsed_s;
+        self.level = refilled.min(self.limit.burst);
     }
 }
--- a/crates/fl-routing/src/placement.rs
+++ b/crates/fl-routing/src/placement.rs
@@ -8,8 +8,10 @@
 
 /// Reading rate assumed before one was observed, in tokens a millisecond.
 const FIRST_READ_RATE: f64 = 50.0;
-/// Weight of the newest observation in the reading rate.
-const RATE_MEMORY: f64 = 0.05;
+/// Weight of a reading that was faster than believed.
+const FASTER_WEIGHT: f64 = 0.2;
+/// Weight of a reading that was slower than believed.
+const SLOWER_WEIGHT: f64 = 0.02;
 /// Reads shorter than this say little about the rate, in tokens.
 const LEARNED_TOKENS: u64 = 1000;
 /// What each running call adds to the first token of a new one, in milliseconds.
@@ -67,13 +69,16 @@
 }
 
 impl ReadRate {
-    /// Takes the tokens that were read, with those ahead, until a first token came.
+    /// Takes how long an idle server took to read tokens.
+    ///
+    /// A server may have had work that this node did not know of, so a slow reading counts less.
     pub fn observe(&mut self, tokens: u64, first_token_ms: f64) {
         if tokens < LEARNED_TOKENS || first_token_ms <= 0.0 {
             return;
         }
         let seen = tokens as f64 / first_token_ms;
-        self.tokens_per_ms += (seen - self.tokens_per_ms) * RATE_MEMORY;
+        let memory = if seen > self.tokens_per_ms { FASTER_WEIGHT } else { SLOWER_WEIGHT };
+        self.tokens_per_ms += (seen - self.tokens_per_ms) * memory;
     }
 
     /// The time to read tokens, in milliseconds.
