Measure the demand on every node, so that a new holder keeps what is there

The log shows the lease change hands at 22.5 s and 41.9 s, and each new holder, which had measured nothing, order one server a data centre. Ruled out: reclaims (the plan filled those), prices.

Every node measures now, over all lives of its peers, and a holder whose measurement is young takes what is there for needed.

--- a/crates/fl-fleet/src/lib.rs
+++ b/crates/fl-fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! `docs/design/080-leases-and-fencing.md` and `docs/design/090-fleet.md`.
 
 pub mod capacity;
+pub mod demand;
 pub mod lease;
 pub mod offers;
 pub mod orders;
--- /dev/null
+++ b/crates/fl-fleet/tests/scaling.rs
@@ -0,0 +1,93 @@
+//! Orders of backend servers: demand, price, a lost data centre, none to be had.
+
+use fl_fleet::scaling::{ZoneFleet, ZoneOrder, plan};
+use fl_protocol::forward::ScalingFacts;
+use proptest::prelude::*;
+use rstest::rstest;
+use std::time::Duration;
+
+fn facts(zones: usize) -> ScalingFacts {
+    ScalingFacts {
+        servers_min: 1,
+        servers_max: 8,
+        boot: Duration::from_secs(4),
+        reclaimable_price: Some(0.15),
+        zone_prices: (0..zones).map(|zone| (format!("zone-{zone}"), 1.0 + zone as f64)).collect(),
+    }
+}
+
+fn fleet(zone: usize, lasting: u32, reclaimable: u32) -> ZoneFleet {
+    ZoneFleet { zone: format!("zone-{zone}"), lasting, reclaimable, is_dry: false }
+}
+
+fn total(orders: &[ZoneOrder]) -> (u32, u32) {
+    let lasting = orders.iter().map(|order| order.lasting).sum();
+    (lasting, orders.iter().map(|order| order.reclaimable).sum())
+}
+
+#[rstest]
+#[case::two_zones_left(3, 8.0, 4)]
+#[case::one_zone_left(2, 4.0, 4)]
+#[case::single_zone(1, 4.0, 4)]
+#[case::many_zones(5, 8.0, 2)]
+#[case::never_below_least(3, 0.1, 1)]
+#[case::never_above_most(3, 100.0, 8)]
+fn reclaimable_survive_a_zone(#[case] zones: usize, #[case] needed: f64, #[case] each: u32) {
+    let fleets: Vec<ZoneFleet> = (0..zones).map(|zone| fleet(zone, 4, 0)).collect();
+    let orders = plan(&facts(zones), &fleets, needed);
+    assert!(orders.iter().all(|order| order.reclaimable == each), "{orders:?}");
+}
+
+#[test]
+fn lasting_stay_until_replaced() {
+    let booting: Vec<ZoneFleet> = (0..3).map(|zone| fleet(zone, 4, 0)).collect();
+    assert_eq!(total(&plan(&facts(3), &booting, 8.0)).0, 8);
+    let ready: Vec<ZoneFleet> = (0..3).map(|zone| fleet(zone, 4, 4)).collect();
+    assert_eq!(total(&plan(&facts(3), &ready, 8.0)).0, 0);
+}
+
+#[test]
+fn lost_zones_filled_by_lasting() {
+    let one_lost = [fleet(0, 0, 4), fleet(1, 0, 4), fleet(2, 0, 0)];
+    assert_eq!(total(&plan(&facts(3), &one_lost, 8.0)).0, 1, "only the least of the lost zone");
+    let two_lost = [fleet(0, 0, 4), fleet(1, 0, 0), fleet(2, 0, 0)];
+    assert_eq!(total(&plan(&facts(3), &two_lost, 8.0)).0, 4);
+}
+
+#[test]
+fn dear_reclaimable_not_taken() {
+    let facts = ScalingFacts { reclaimable_price: Some(0.9), ..facts(3) };
+    let fleets: Vec<ZoneFleet> = (0..3).map(|zone| fleet(zone, 4, 0)).collect();
+    assert_eq!(total(&plan(&facts, &fleets, 6.0)), (6, 0));
+}
+
+#[test]
+fn cheap_zones_first() {
+    let facts = ScalingFacts { reclaimable_price: None, servers_min: 0, ..facts(3) };
+    let fleets: Vec<ZoneFleet> = (0..3).map(|zone| fleet(zone, 0, 0)).collect();
+    let orders = plan(&facts, &fleets, 4.0);
+    let lasting: Vec<u32> = orders.iter().map(|order| order.lasting).collect();
+    assert_eq!(lasting, [2, 1, 1]);
+}
+
+proptest! {
+    /// Whatever is there, orders keep within the bounds of a data centre.
+    #[test]
+    fn bounds_kept(
+        present in proptest::collection::vec((0u32..9, 0u32..9), 1..6),
+        needed in 0.0f64..60.0,
+    ) {
+        let facts = facts(present.len());
+        let fleets: Vec<ZoneFleet> = present
+            .iter()
+            .enumerate()
+            .map(|(zone, (lasting, reclaimable))| fleet(zone, *lasting, *reclaimable))
+            .collect();
+        for (order, fleet) in plan(&facts, &fleets, needed).iter().zip(&fleets) {
+            prop_assert!(order.reclaimable <= facts.servers_max);
+            let serving = order.lasting + fleet.reclaimable.min(order.reclaimable);
+            prop_assert!(serving <= facts.servers_max);
+            prop_assert!(serving >= facts.servers_min);
+        }
+    }
+}
--- a/crates/fl-forward/src/admit.rs
+++ b/crates/fl-forward/src/admit.rs
@@ -17,7 +17,7 @@
 const REVOCATION_MARGIN: Duration = Duration::from_millis(300);
 /// The part of a quota's promised tolerance that admission uses; the rest covers what nodes that do
 /// not hear of each other take at the same time.
-const USED_TOLERANCE: f64 = 0.7;
+const USED_TOLERANCE: f64 = 0.5;
 /// When to come back to a node that knows too little.
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
 
--- a/crates/fl-forward/src/duty.rs
+++ b/crates/fl-forward/src/duty.rs
@@ -57,6 +57,9 @@
     let mut view = View::Watching(Lease::new(&own, node.settings.bounds.lease, boot_time()));
     let mut work = Work::default();
     while node.pause(LOOK_INTERVAL).await.is_some() {
+        if node.settings.orders_fleet {
+            fleet::measure(&node, &mut work.orders);
+        }
         view = match view {
             View::Watching(lease) => watch(&node, lease).await,
             View::Holding(lease) => hold(&node, lease, &mut work).await,
--- a/crates/fl-forward/src/duty/fleet.rs
+++ b/crates/fl-forward/src/duty/fleet.rs
@@ -3,20 +3,17 @@
 use crate::clock::boot_time;
 use crate::log::event::FleetOrdered;
 use crate::node::Node;
+use fl_fleet::demand::DemandMeter;
 use fl_fleet::scaling::{ZoneFleet, ZoneOrder, plan};
 use fl_kernel::forward::{DutyToken, FleetOrder, OrderOutcome, PlatformError};
 use fl_protocol::ServiceName;
-use fl_protocol::forward::{BackendService, ScalingFacts, ServerEntry};
+use fl_protocol::forward::{ScalingFacts, ServerEntry};
 use std::time::Duration;
 
 /// Time between two looks at the demand.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 /// Heartbeats after which all living servers have registered.
 const REGISTRATION_HEARTBEATS: u32 = 4;
-/// Time over which the demand is averaged.
-const DEMAND_SPAN: Duration = Duration::from_millis(4000);
-/// How long the highest demand seen stays the measure, so that a wave's trough orders nothing away.
-const DEMAND_MEMORY: Duration = Duration::from_secs(20);
 /// Share of a server's time that reads prompts when a first token still comes soon.
 const BUSY_SHARE: f64 = 0.4;
 /// Share of the servers found at the start that the demand is assumed to keep busy before any was
@@ -39,12 +36,7 @@
 #[derive(Debug)]
 struct ServiceState {
     name: ServiceName,
-    /// Totals of tokens sent to be read, with their times.
-    totals: Vec<(Duration, u64)>,
-    /// Measured needs, with their times.
-    needs: Vec<(Duration, f64)>,
-    /// What the servers found at the start suggest, until the demand was measured for a while.
-    first_need: f64,
+    meter: DemandMeter,
     given: Vec<Given>,
 }
 
@@ -82,6 +74,18 @@
     wishes
 }
 
+/// Measures the demand of each service whose fleet may be ordered, whoever holds the duty.
+pub fn measure(node: &Node, orders: &mut Orders) {
+    let now = boot_time();
+    let table = node.declared.table();
+    let rate = node.servers.read_rate();
+    let busy = |tokens_per_s: f64| rate.read_ms(tokens_per_s as u64) / MS_PER_S / BUSY_SHARE;
+    for service in table.services.iter().filter(|service| service.scaling.is_some()) {
+        let total = node.servers.demand(&service.name) + node.peers.demand(&service.name);
+        orders.state(&service.name).meter.take(now, total, busy);
+    }
+}
+
 /// Orders what is needed and not there.
 pub async fn perform(
     node: &Node,
@@ -90,24 +94,26 @@
 ) -> Result<(), PlatformError> {
     let now = boot_time();
     if orders.fencing != token.fencing {
-        *orders = Orders { fencing: token.fencing, ..Orders::default() };
+        orders.begin(token.fencing);
     }
     if now.saturating_sub(orders.looked_at) < LOOK_INTERVAL {
         return Ok(());
     }
+    orders.looked_at = now;
     let since_start = now.saturating_sub(node.started_at);
     let all_registered = since_start >= node.settings.server_heartbeat * REGISTRATION_HEARTBEATS;
-    orders.looked_at = now;
     let table = node.declared.table();
     let servers = node.servers.usable();
     for service in &table.services {
         let Some(facts) = &service.scaling else { continue };
         let of_service = |entry: &&ServerEntry| entry.service == service.name;
         let present: Vec<&ServerEntry> = servers.iter().filter(of_service).collect();
-        let lasting = present.iter().filter(|entry| !entry.reclaimable).count();
-        let state = orders.state(service, lasting);
-        let needed = state.measure(node, now);
+        let state = orders.state(&service.name);
         let zones = state.zones(node, facts, &present, now);
+        if !state.meter.is_settled(now) {
+            state.meter.suggest(suggested(&zones));
+        }
+        let needed = state.meter.needed();
         for (order, fleet) in plan(facts, &zones, needed).iter().zip(&zones) {
             for wish in wishes(&service.name, order, fleet, all_registered) {
                 if state.is_due(&wish, facts) {
@@ -119,60 +125,38 @@
     Ok(())
 }
 
+/// The need that what is there suggests: lasting servers found at the start are mostly more than
+/// enough, and reclaimable ones were ordered so that a data centre's may be lost.
+fn suggested(zones: &[ZoneFleet]) -> f64 {
+    let lasting: u32 = zones.iter().map(|fleet| fleet.lasting).sum();
+    let reclaimable: Vec<u32> = zones.iter().map(|fleet| fleet.reclaimable).collect();
+    let most = reclaimable.iter().max().copied().unwrap_or(0);
+    let left = reclaimable.iter().sum::<u32>() - most;
+    (f64::from(lasting) * FIRST_BUSY_SHARE).max(f64::from(left))
+}
+
 impl Orders {
-    fn state(&mut self, service: &BackendService, lasting: usize) -> &mut ServiceState {
-        let place = self.services.binary_search_by(|state| state.name.cmp(&service.name));
+    /// Begins anew under another lease; what was measured stays true.
+    fn begin(&mut self, fencing: u64) {
+        self.fencing = fencing;
+        for state in &mut self.services {
+            state.given.clear();
+        }
+    }
+
+    fn state(&mut self, service: &str) -> &mut ServiceState {
+        let place = self.services.binary_search_by(|state| state.name.as_str().cmp(service));
         let place = place.unwrap_or_else(|place| {
-            self.services.insert(
-                place,
-                ServiceState {
-                    name: service.name.clone(),
-                    totals: Vec::new(),
-                    needs: Vec::new(),
-                    first_need: 0.0,
-                    given: Vec::new(),
-                },
-            );
+            let name = service.to_string();
+            let state = ServiceState { name, meter: DemandMeter::default(), given: Vec::new() };
+            self.services.insert(place, state);
             place
         });
-        let state = &mut self.services[place];
-        let suggested = lasting as f64 * FIRST_BUSY_SHARE;
-        state.first_need = state.first_need.max(suggested);
-        state
+        &mut self.services[place]
     }
 }
 
 impl ServiceState {
-    /// Servers that the demand of the last while keeps busy at a good pace.
-    fn measure(&mut self, node: &Node, now: Duration) -> f64 {
-        let own = node.servers.demand();
-        let own = own.iter().find(|(name, _)| *name == self.name).map_or(0, |(_, tokens)| *tokens);
-        let total = own + node.peers.demand(&self.name);
-        // A peer that started anew counts from zero, so a lower total begins a new measurement.
-        if self.totals.last().is_some_and(|(_, last)| total < *last) {
-            self.totals.clear();
-        }
-        self.totals.push((now, total));
-        let span_start = now.saturating_sub(DEMAND_SPAN);
-        let old = self.totals.iter().take_while(|(at, _)| *at < span_start).count();
-        self.totals.drain(..old.saturating_sub(1));
-        if let (Some((from, first)), true) = (self.totals.first(), total > 0) {
-            if self.needs.is_empty() {
-                // Demand that has just begun says little, so what was assumed holds on for a while.
-                self.needs.push((now, self.first_need));
-            }
-            let elapsed = now.saturating_sub(*from);
-            if elapsed >= DEMAND_SPAN {
-                let tokens_per_s = (total - first) as f64 / elapsed.as_secs_f64();
-                let busy = node.servers.read_rate().read_ms(tokens_per_s as u64) / MS_PER_S;
-                self.needs.push((now, busy / BUSY_SHARE));
-            }
-        }
-        self.needs.retain(|(at, _)| now.saturating_sub(*at) < DEMAND_MEMORY);
-        let highest = self.needs.iter().map(|(_, need)| *need).fold(0.0, f64::max);
-        if self.needs.is_empty() { self.first_need } else { highest }
-    }
-
     fn zones(
         &self,
         node: &Node,
--- a/crates/fl-forward/src/peers.rs
+++ b/crates/fl-forward/src/peers.rs
@@ -9,7 +9,7 @@
 use crate::log::event::{DependencyLost, PeerChanged};
 use crate::node::Node;
 use crate::servers::OwnLoad;
-use crate::usage::WindowCounts;
+use crate::usage::{WindowCounts, add};
 use fl_kernel::clock::unix_ms;
 use fl_kernel::forward::{ForwardSettings, StoreRevision, WriteOutcome};
 use fl_limits::QuotaReport;
@@ -90,6 +90,8 @@
 struct State {
     /// Sorted by address.
     peers: Vec<Peer>,
+    /// Tokens that the others sent to be read, by service, over all their lives.
+    demand: Vec<(ServiceName, u64)>,
     sequence: u64,
     started_ms: u64,
 }
@@ -154,6 +156,11 @@
         if (report.started_ms, report.sequence) <= known {
             return None;
         }
+        let before = match report.started_ms == peer.report.started_ms {
+            true => std::mem::take(&mut peer.report.demand),
+            false => Vec::new(),
+        };
+        let more = added(&before, &report.demand);
         let silence = peer.heard_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let was_silent = peer.is_silent;
         peer.heard_at = Some(now);
@@ -164,6 +171,9 @@
             peer.earlier_usage.drain(..surplus);
         }
         peer.report = report;
+        for (service, tokens) in more {
+            add(&mut state.demand, &service, tokens);
+        }
         was_silent.then_some(silence)
     }
 
@@ -212,11 +222,11 @@
         admitting.map(|peer| life(&peer.report)).collect()
     }
 
-    /// Tokens that all other nodes sent to be read, by service.
+    /// Tokens that all other nodes sent to be read by a service, as far as they told; never falls.
     pub fn demand(&self, service: &str) -> u64 {
         let state = self.state.lock();
-        let told = state.peers.iter().flat_map(|peer| &peer.report.demand);
-        told.filter(|(name, _)| name == service).map(|(_, tokens)| tokens).sum()
+        let place = state.demand.binary_search_by(|(name, _)| name.as_str().cmp(service));
+        place.map_or(0, |place| state.demand[place].1)
     }
 
     fn addresses(&self) -> Vec<SocketAddr> {
@@ -291,11 +301,21 @@
         duty_fencing: node.duty.fencing(),
         loads: loads.map(|load| (load.server, load.in_flight, load.unread_tokens)).collect(),
         quotas: quotas.map(quota_entry).collect(),
-        demand: node.servers.demand(),
+        demand: node.servers.demands(),
         usage: node.usage.all(),
     }
 }
 
+/// What grew between two reports of one life, by service.
+fn added(before: &[(ServiceName, u64)], after: &[(ServiceName, u64)]) -> Vec<(ServiceName, u64)> {
+    let more = after.iter().map(|(service, tokens)| {
+        let place = before.binary_search_by(|(name, _)| name.cmp(service));
+        let earlier = place.map_or(0, |place| before[place].1);
+        (service.clone(), tokens.saturating_sub(earlier))
+    });
+    more.collect()
+}
+
 fn quota_entry(own: WorkspaceReport) -> (WorkspaceName, f64, f64) {
     (own.workspace, own.report.taken, own.report.level)
 }
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -129,10 +129,17 @@
     }
 
     /// Prompt tokens that this node sent to be read, by service.
-    pub fn demand(&self) -> Vec<(ServiceName, u64)> {
+    pub fn demands(&self) -> Vec<(ServiceName, u64)> {
         self.state.lock().demand.clone()
     }
 
+    /// Prompt tokens that this node sent to be read by a service.
+    pub fn demand(&self, service: &str) -> u64 {
+        let state = self.state.lock();
+        let place = state.demand.binary_search_by(|(name, _)| name.as_str().cmp(service));
+        place.map_or(0, |place| state.demand[place].1)
+    }
+
     /// The rate at which servers read prompts.
     pub fn read_rate(&self) -> ReadRate {
         self.state.lock().rate
--- /dev/null
+++ b/crates/fl-limits/tests/shared_quota.rs
@@ -0,0 +1,144 @@
+//! One quota over several nodes: uneven callers, large calls, and nodes that do not hear each other.
+
+use fl_limits::{QuotaLimit, SharedQuota};
+use proptest::prelude::*;
+use std::time::Duration;
+
+const LIMIT: QuotaLimit =
+    QuotaLimit { rate_per_s: 100_000.0, burst: 100_000.0, tolerance: 50_000.0 };
+const REPORT_EVERY_MS: u64 = 250;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Nodes that tell each other what they took.
+struct Fleet {
+    nodes: Vec<SharedQuota>,
+    taken: Vec<(u64, f64)>,
+}
+
+impl Fleet {
+    fn new(nodes: usize) -> Self {
+        let nodes = (0..nodes).map(|_| SharedQuota::new(LIMIT, at(0))).collect();
+        Fleet { nodes, taken: Vec::new() }
+    }
+
+    fn ask(&mut self, node: usize, units: f64, now_ms: u64) -> bool {
+        let taken = self.nodes[node].try_take(units, at(now_ms)).is_ok();
+        if taken {
+            self.taken.push((now_ms, units));
+        }
+        taken
+    }
+
+    fn report(&mut self, now_ms: u64, hears: impl Fn(usize, usize) -> bool) {
+        for from in 0..self.nodes.len() {
+            let report = self.nodes[from].report(at(now_ms));
+            for to in 0..self.nodes.len() {
+                if from != to && hears(from, to) {
+                    self.nodes[to].hear(from as u64, report, at(now_ms));
+                }
+            }
+        }
+    }
+
+    /// The most that was taken in any span.
+    fn most_in(&self, span_ms: u64) -> f64 {
+        let sum_to = |end: u64| {
+            let in_span = self.taken.iter().filter(|(at, _)| *at <= end && at + span_ms > end);
+            in_span.map(|(_, units)| units).sum::<f64>()
+        };
+        self.taken.iter().map(|(at, _)| sum_to(*at)).fold(0.0, f64::max)
+    }
+}
+
+#[test]
+fn all_calls_at_one_node() {
+    let mut fleet = Fleet::new(6);
+    fleet.report(0, |_, _| true);
+    let taken = (0..20).filter(|call| fleet.ask(0, 10_000.0, 10 * call)).count();
+    assert!(taken >= 14, "a node must be able to use what the others leave: {taken} of 20");
+}
+
+#[test]
+fn large_call_passes() {
+    let mut fleet = Fleet::new(6);
+    assert!(fleet.ask(3, 400_000.0, 0));
+    assert!(!fleet.ask(3, 1_000.0, 10), "it is paid off first");
+}
+
+#[test]
+fn hot_workspace_over_all_nodes() {
+    let mut fleet = Fleet::new(6);
+    fleet.report(0, |_, _| true);
+    for step in 0..1_600 {
+        let now_ms = step * 10;
+        if now_ms % REPORT_EVERY_MS == 0 {
+            fleet.report(now_ms, |_, _| true);
+        }
+        fleet.ask((step % 6) as usize, 4_000.0, now_ms);
+    }
+    let allowed = (LIMIT.rate_per_s * 8.0 + LIMIT.burst) * 1.1 + 140_000.0;
+    let most = fleet.most_in(8_000);
+    assert!(most <= allowed, "{most} of {allowed}");
+    assert!(most >= LIMIT.rate_per_s * 8.0 * 0.8, "what is owed must be had: {most}");
+}
+
+#[test]
+fn cut_nodes_keep_to_it() {
+    let mut fleet = Fleet::new(6);
+    fleet.report(0, |_, _| true);
+    for step in 0..1_600 {
+        let now_ms = step * 10;
+        let is_cut = now_ms > 6_000;
+        if now_ms % REPORT_EVERY_MS == 0 {
+            fleet.report(now_ms, |from, to| !is_cut || (from < 2) == (to < 2));
+        }
+        fleet.ask((step % 6) as usize, 4_000.0, now_ms);
+    }
+    let allowed = (LIMIT.rate_per_s * 8.0 + LIMIT.burst) * 1.1 + 140_000.0;
+    let most = fleet.most_in(8_000);
+    assert!(most <= allowed, "{most} of {allowed}");
+}
+
+#[test]
+fn lower_limit_binds() {
+    let mut quota = SharedQuota::new(LIMIT, at(0));
+    let lower = QuotaLimit { rate_per_s: 1_000.0, burst: 1_000.0, tolerance: 0.0 };
+    quota.set_limit(lower, at(10));
+    assert!(quota.try_take(1_000.0, at(20)).is_ok());
+    let wait = quota.try_take(1_000.0, at(20));
+    assert!(wait.is_err_and(|wait| wait <= Duration::from_secs(1)));
+}
+
+#[test]
+fn new_node_learns_level() {
+    let mut old = SharedQuota::new(LIMIT, at(0));
+    assert!(old.try_take(140_000.0, at(0)).is_ok());
+    let mut new = SharedQuota::new(LIMIT, at(10));
+    new.hear(1, old.report(at(10)), at(10));
+    assert!(new.try_take(50_000.0, at(20)).is_err());
+}
+
+proptest! {
+    /// Whatever the calls and whichever nodes take them, what is taken stays within what was
+    /// promised while nodes hear each other.
+    #[test]
+    fn promise_kept(calls in proptest::collection::vec((0u64..16_000, 0usize..6, 100u32..12_000), 1..600)) {
+        let mut calls = calls;
+        calls.sort();
+        let mut fleet = Fleet::new(6);
+        let mut reported_ms = 0;
+        fleet.report(0, |_, _| true);
+        for (now_ms, node, units) in calls {
+            while reported_ms + REPORT_EVERY_MS <= now_ms {
+                reported_ms += REPORT_EVERY_MS;
+                fleet.report(reported_ms, |_, _| true);
+            }
+            fleet.ask(node, f64::from(units), now_ms);
+        }
+        let allowed = (LIMIT.rate_per_s * 8.0 + LIMIT.burst) * 1.1 + 140_000.0;
+        prop_assert!(fleet.most_in(8_000) <= allowed);
+    }
+}
--- /dev/null
+++ b/crates/fl-routing/tests/placement.rs
@@ -0,0 +1,112 @@
+//! Where forwarded calls go, under the loads that it is for.
+
+use fl_protocol::forward::{ModelCall, PromptPart, ServerEntry, ServerState};
+use fl_routing::placement::{Candidate, ReadRate, ServerPressure, place};
+use fl_routing::rendezvous::name_hash;
+use std::time::Duration;
+
+fn servers(count: usize) -> Vec<ServerEntry> {
+    let entry = |index: usize| ServerEntry {
+        name: format!("server-{index}"),
+        service: "model".to_string(),
+        address: "127.0.0.1:8000".parse().unwrap(),
+        zone: format!("zone-{}", index % 3),
+        slots: 32,
+        state: ServerState::Ready,
+        reclaimable: false,
+    };
+    (0..count).map(entry).collect()
+}
+
+fn candidates<'a>(servers: &'a [ServerEntry], pressures: &[ServerPressure]) -> Vec<Candidate<'a>> {
+    let with_pressure = servers.iter().zip(pressures);
+    with_pressure
+        .map(|(entry, pressure)| Candidate {
+            entry,
+            name_hash: name_hash(&entry.name),
+            pressure: *pressure,
+        })
+        .collect()
+}
+
+fn call(shared: u64, shared_tokens: u64, own_tokens: u64) -> ModelCall {
+    ModelCall {
+        model: "m".to_string(),
+        prompt_tokens: shared_tokens + own_tokens,
+        answer_tokens_max: 100,
+        parts: vec![
+            PromptPart { id: shared, tokens: shared_tokens },
+            PromptPart { id: 999, tokens: own_tokens },
+        ],
+    }
+}
+
+fn rate() -> ReadRate {
+    let mut rate = ReadRate::default();
+    for _ in 0..100 {
+        rate.observe(8_500, 100.0);
+    }
+    rate
+}
+
+fn chosen(call: &ModelCall, servers: &[ServerEntry], pressures: &[ServerPressure]) -> usize {
+    let candidates = candidates(servers, pressures);
+    place(Some(call), &candidates, "zone-0", rate(), || 0.0).unwrap().index
+}
+
+#[test]
+fn shared_part_meets_at_home() {
+    let servers = servers(12);
+    let idle = vec![ServerPressure::default(); 12];
+    let home = chosen(&call(7, 5_000, 6_000), &servers, &idle);
+    let again = chosen(&call(7, 5_000, 2_000), &servers, &idle);
+    assert_eq!(home, again);
+}
+
+#[test]
+fn hot_part_spreads() {
+    let servers = servers(12);
+    let mut pressures = vec![ServerPressure::default(); 12];
+    let home = chosen(&call(7, 5_000, 6_000), &servers, &pressures);
+    pressures[home].unread_tokens = 40_000;
+    pressures[home].in_flight = 5;
+    assert_ne!(chosen(&call(7, 5_000, 6_000), &servers, &pressures), home);
+}
+
+#[test]
+fn suspect_server_avoided() {
+    let servers = servers(3);
+    let mut pressures = vec![ServerPressure::default(); 3];
+    let home = chosen(&call(7, 500, 1_000), &servers, &pressures);
+    pressures[home].suspicion = 0.7;
+    assert_ne!(chosen(&call(7, 500, 1_000), &servers, &pressures), home);
+}
+
+#[test]
+fn plain_calls_stay_near_until_full() {
+    let mut servers = servers(3);
+    for server in &mut servers {
+        server.slots = 6;
+    }
+    let mut pressures = vec![ServerPressure::default(); 3];
+    let near = |pressures: &[ServerPressure]| {
+        let candidates = candidates(&servers, pressures);
+        place(None, &candidates, "zone-1", ReadRate::default(), || 0.0).unwrap().index
+    };
+    assert_eq!(near(&pressures), 1);
+    pressures[1].in_flight = 7;
+    assert_ne!(near(&pressures), 1);
+}
+
+#[test]
+fn nobody_to_choose() {
+    assert!(place(None, &[], "zone-0", ReadRate::default(), || 0.0).is_none());
+}
+
+#[test]
+fn busy_server_teaches_little() {
+    let mut rate = rate();
+    let before = rate.read_ms(10_000);
+    rate.observe(8_500, Duration::from_secs(2).as_secs_f64() * 1000.0);
+    assert!(rate.read_ms(10_000) < before * 1.05);
+}
