Start quotas of restarted nodes with nothing to spare; lasting servers for the least need

Nodes that start later than the system take the peers' word or begin with nothing to spare. Test all_nodes_lose_their_memory.

Lasting servers now fill up only what the demand of now needs at least.

--- a/crates/fl-fleet/src/demand.rs
+++ b/crates/fl-fleet/src/demand.rs
@@ -56,7 +56,13 @@
     }
 
     /// Servers that the demand of the last while keeps busy at its highest.
-    pub fn needed(&self) -> f64 {
+    pub fn highest(&self) -> f64 {
         self.needs.iter().map(|(_, need)| *need).fold(self.suggested, f64::max)
     }
+
+    /// Servers that the demand of now keeps busy.
+    pub fn now(&self) -> f64 {
+        let newest = self.needs.last().map_or(0.0, |(_, need)| *need);
+        newest.max(self.suggested)
+    }
 }
--- a/crates/fl-fleet/src/scaling.rs
+++ b/crates/fl-fleet/src/scaling.rs
@@ -35,21 +35,54 @@
     pub reclaimable: u32,
 }
 
-/// Plans the fleet of a service for a demand of `needed` busy servers.
-pub fn plan(facts: &ScalingFacts, zones: &[ZoneFleet], needed: f64) -> Vec<ZoneOrder> {
-    let reclaimable = reclaimable_per_zone(facts, zones.len(), needed);
+/// What the demand asks for, in servers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Need {
+    /// Enough for the highest demand of the last while with short queues.
+    pub ample: f64,
+    /// Enough for the demand of now, with queues.
+    pub least: f64,
+}
+
+/// Plans the fleet of a service: ample reclaimable servers, and lasting ones for what is missing of
+/// the least.
+pub fn plan(facts: &ScalingFacts, zones: &[ZoneFleet], need: Need) -> Vec<ZoneOrder> {
+    let reclaimable = reclaimable_per_zone(facts, zones.len(), need.ample);
+    if reclaimable == 0 {
+        return lasting_only(facts, zones, need.ample);
+    }
     let mut orders: Vec<ZoneOrder> = zones
         .iter()
         .map(|fleet| ZoneOrder { zone: fleet.zone.clone(), lasting: 0, reclaimable })
         .collect();
     let ready: u32 = zones.iter().map(|fleet| fleet.reclaimable.min(reclaimable)).sum();
-    let missing = (needed.ceil() as u32).saturating_sub(ready);
-    add_lasting(facts, zones, &mut orders, missing);
+    let missing = (need.least.ceil() as u32).saturating_sub(ready);
+    fill(facts, zones, &mut orders, missing);
+    orders
+}
+
+fn lasting_only(facts: &ScalingFacts, zones: &[ZoneFleet], needed: f64) -> Vec<ZoneOrder> {
+    let mut orders: Vec<ZoneOrder> = zones
+        .iter()
+        .map(|fleet| ZoneOrder { zone: fleet.zone.clone(), lasting: 0, reclaimable: 0 })
+        .collect();
+    fill(facts, zones, &mut orders, needed.ceil() as u32);
+    orders
+}
+
+/// Adds lasting servers: the fewest that each data centre must have, then what is still missing.
+fn fill(facts: &ScalingFacts, zones: &[ZoneFleet], orders: &mut [ZoneOrder], missing: u32) {
+    keep_least(facts, zones, orders);
+    let kept: u32 = orders.iter().map(|order| order.lasting).sum();
+    add_lasting(facts, zones, orders, missing.saturating_sub(kept));
+}
+
+/// Keeps the fewest servers that operators declared for each data centre.
+fn keep_least(facts: &ScalingFacts, zones: &[ZoneFleet], orders: &mut [ZoneOrder]) {
     for (order, fleet) in orders.iter_mut().zip(zones) {
         let least = facts.servers_min.saturating_sub(fleet.reclaimable.min(order.reclaimable));
         order.lasting = order.lasting.max(least);
     }
-    orders
 }
 
 /// Enough in each data centre that all but one of them carry the demand.
--- a/crates/fl-fleet/tests/demand.rs
+++ b/crates/fl-fleet/tests/demand.rs
@@ -26,7 +26,7 @@
     }
 
     fn needed(&self) -> f64 {
-        self.meter.needed()
+        self.meter.highest()
     }
 }
 
@@ -44,6 +44,13 @@
     assert!(fed.needed() > 4.9, "{}", fed.needed());
 }
 
+#[test]
+fn now_follows_at_once() {
+    let mut fed = Fed::default();
+    fed.feed(&[[500; 8], [100; 8]].concat());
+    assert!((fed.meter.now() - 1.0).abs() < 0.01, "{}", fed.meter.now());
+}
+
 #[test]
 fn lasting_fall_is_followed() {
     let mut fed = Fed::default();
--- a/crates/fl-fleet/tests/scaling.rs
+++ b/crates/fl-fleet/tests/scaling.rs
@@ -1,6 +1,6 @@
 //! Orders of backend servers: demand, price, a lost data centre, none to be had.
 
-use fl_fleet::scaling::{ZoneFleet, ZoneOrder, plan};
+use fl_fleet::scaling::{Need, ZoneFleet, ZoneOrder, plan};
 use fl_protocol::forward::ScalingFacts;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -20,6 +20,10 @@
     ZoneFleet { zone: format!("zone-{zone}"), lasting, reclaimable, is_dry: false }
 }
 
+fn same(needed: f64) -> Need {
+    Need { ample: needed, least: needed }
+}
+
 fn total(orders: &[ZoneOrder]) -> (u32, u32) {
     let lasting = orders.iter().map(|order| order.lasting).sum();
     (lasting, orders.iter().map(|order| order.reclaimable).sum())
@@ -34,38 +38,49 @@
 #[case::never_above_most(3, 100.0, 8)]
 fn reclaimable_survive_a_zone(#[case] zones: usize, #[case] needed: f64, #[case] each: u32) {
     let fleets: Vec<ZoneFleet> = (0..zones).map(|zone| fleet(zone, 4, 0)).collect();
-    let orders = plan(&facts(zones), &fleets, needed);
+    let orders = plan(&facts(zones), &fleets, same(needed));
     assert!(orders.iter().all(|order| order.reclaimable == each), "{orders:?}");
 }
 
 #[test]
 fn lasting_stay_until_replaced() {
     let booting: Vec<ZoneFleet> = (0..3).map(|zone| fleet(zone, 4, 0)).collect();
-    assert_eq!(total(&plan(&facts(3), &booting, 8.0)).0, 8);
+    assert_eq!(total(&plan(&facts(3), &booting, same(8.0))).0, 8);
     let ready: Vec<ZoneFleet> = (0..3).map(|zone| fleet(zone, 4, 4)).collect();
-    assert_eq!(total(&plan(&facts(3), &ready, 8.0)).0, 0);
+    assert_eq!(total(&plan(&facts(3), &ready, same(8.0))).0, 0);
 }
 
 #[test]
 fn lost_zones_filled_by_lasting() {
     let one_lost = [fleet(0, 0, 4), fleet(1, 0, 4), fleet(2, 0, 0)];
-    assert_eq!(total(&plan(&facts(3), &one_lost, 8.0)).0, 1, "only the least of the lost zone");
+    assert_eq!(
+        total(&plan(&facts(3), &one_lost, same(8.0))).0,
+        1,
+        "only the least of the lost zone"
+    );
     let two_lost = [fleet(0, 0, 4), fleet(1, 0, 0), fleet(2, 0, 0)];
-    assert_eq!(total(&plan(&facts(3), &two_lost, 8.0)).0, 4);
+    assert_eq!(total(&plan(&facts(3), &two_lost, same(8.0))).0, 4);
+}
+
+#[test]
+fn lasting_only_for_the_least() {
+    let lost = [fleet(0, 0, 4), fleet(1, 0, 0), fleet(2, 0, 0)];
+    let need = Need { ample: 8.0, least: 5.0 };
+    assert_eq!(total(&plan(&facts(3), &lost, need)).0, 2, "one a lost zone, at least");
 }
 
 #[test]
 fn dear_reclaimable_not_taken() {
     let facts = ScalingFacts { reclaimable_price: Some(0.9), ..facts(3) };
     let fleets: Vec<ZoneFleet> = (0..3).map(|zone| fleet(zone, 4, 0)).collect();
-    assert_eq!(total(&plan(&facts, &fleets, 6.0)), (6, 0));
+    assert_eq!(total(&plan(&facts, &fleets, same(6.0))), (6, 0));
 }
 
 #[test]
 fn cheap_zones_first() {
     let facts = ScalingFacts { reclaimable_price: None, servers_min: 0, ..facts(3) };
     let fleets: Vec<ZoneFleet> = (0..3).map(|zone| fleet(zone, 0, 0)).collect();
-    let orders = plan(&facts, &fleets, 4.0);
+    let orders = plan(&facts, &fleets, same(4.0));
     let lasting: Vec<u32> = orders.iter().map(|order| order.lasting).collect();
     assert_eq!(lasting, [2, 1, 1]);
 }
@@ -83,7 +98,7 @@
             .enumerate()
             .map(|(zone, (lasting, reclaimable))| fleet(zone, *lasting, *reclaimable))
             .collect();
-        for (order, fleet) in plan(&facts, &fleets, needed).iter().zip(&fleets) {
+        for (order, fleet) in plan(&facts, &fleets, same(needed)).iter().zip(&fleets) {
             prop_assert!(order.reclaimable <= facts.servers_max);
             let serving = order.lasting + fleet.reclaimable.min(order.reclaimable);
             prop_assert!(serving <= facts.servers_max);
--- a/crates/fl-forward/src/admit.rs
+++ b/crates/fl-forward/src/admit.rs
@@ -1,9 +1,10 @@
 //! Whether a call is taken: its route, its key, its workspace's quota.
 
 use crate::clock::boot_time;
+use crate::log::event::QuotaShort;
 use crate::node::Node;
-use fl_kernel::forward::{ForwardBounds, Refusal};
-use fl_limits::{QuotaLimit, QuotaReport, SharedQuota};
+use fl_kernel::forward::{ForwardBounds, ForwardSettings, Refusal};
+use fl_limits::{QuotaLimit, QuotaReport, QuotaShortage, SharedQuota};
 use fl_protocol::WorkspaceName;
 use fl_protocol::forward::{CallHead, KeyedWorkspace, Route, RouteTable};
 use http::StatusCode;
@@ -17,7 +18,7 @@
 const REVOCATION_MARGIN: Duration = Duration::from_millis(300);
 /// The part of a quota's promised tolerance that admission uses; the rest covers what nodes that do
 /// not hear of each other take at the same time.
-const USED_TOLERANCE: f64 = 0.5;
+const USED_TOLERANCE: f64 = 0.4;
 /// When to come back to a node that knows too little.
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
 
@@ -53,18 +54,22 @@
 
 impl Quotas {
     /// Takes the quotas of a new table.
-    pub fn table_changed(&self, table: &RouteTable, bounds: &ForwardBounds) {
+    pub fn table_changed(&self, table: &RouteTable, settings: &ForwardSettings) {
         let now = boot_time();
         let mut quotas = self.quotas.lock();
         let limited = |workspace: &&KeyedWorkspace| workspace.quota_per_s > 0.0;
         let limited: Vec<&KeyedWorkspace> = table.workspaces.iter().filter(limited).collect();
         quotas.retain(|(name, _)| limited.iter().any(|workspace| workspace.name == *name));
         for workspace in limited {
-            let limit = quota_limit(workspace, bounds);
+            let limit = quota_limit(workspace, &settings.bounds);
             match quotas.binary_search_by(|(name, _)| name.cmp(&workspace.name)) {
                 Ok(place) => quotas[place].1.set_limit(limit, now),
                 Err(place) => {
-                    quotas.insert(place, (workspace.name.clone(), SharedQuota::new(limit, now)));
+                    let quota = match settings.is_first_start {
+                        true => SharedQuota::unused(limit, now),
+                        false => SharedQuota::unknown(limit, now),
+                    };
+                    quotas.insert(place, (workspace.name.clone(), quota));
                 }
             }
         }
@@ -99,11 +104,16 @@
         }
     }
 
-    fn try_take(&self, workspace: &str, units: f64) -> Result<(), Duration> {
+    /// Takes units; says whether so little is left that the peers should hear of it at once.
+    fn try_take(&self, workspace: &str, units: f64) -> Result<bool, QuotaShortage> {
+        let now = boot_time();
         let mut quotas = self.quotas.lock();
         match quotas.binary_search_by(|(name, _)| name.as_str().cmp(workspace)) {
-            Ok(place) => quotas[place].1.try_take(units, boot_time()),
-            Err(_) => Ok(()),
+            Ok(place) => {
+                quotas[place].1.try_take(units, now)?;
+                Ok(quotas[place].1.is_scarce(now))
+            }
+            Err(_) => Ok(false),
         }
     }
 }
@@ -131,11 +141,25 @@
     let route = route.ok_or_else(|| final_refusal(StatusCode::NOT_FOUND, "no such route"))?;
     let workspace = workspace(node, &table, route, head)?;
     if let Some(workspace) = workspace {
-        node.quotas.try_take(&workspace.name, units(workspace, head)).map_err(|after| Refusal {
-            status: StatusCode::TOO_MANY_REQUESTS,
-            reason: "the workspace's quota is used up",
-            retry_after: Some(after),
+        let taken = node.quotas.try_take(&workspace.name, units(workspace, head));
+        let is_scarce = taken.map_err(|shortage| {
+            node.log.write(&QuotaShort {
+                request_id: &head.id,
+                workspace: &workspace.name,
+                units: shortage.units as u64,
+                free: shortage.free as i64,
+                rate_per_s: shortage.rate_per_s as u64,
+                nodes: node.peers.nodes(),
+            });
+            Refusal {
+                status: StatusCode::TOO_MANY_REQUESTS,
+                reason: "the workspace's quota is used up",
+                retry_after: Some(shortage.retry_after),
+            }
         })?;
+        if is_scarce {
+            node.peers.tell_soon();
+        }
     }
     let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
     Ok(Admitted {
--- a/crates/fl-forward/src/duty/fleet.rs
+++ b/crates/fl-forward/src/duty/fleet.rs
@@ -4,7 +4,7 @@
 use crate::log::event::FleetOrdered;
 use crate::node::Node;
 use fl_fleet::demand::DemandMeter;
-use fl_fleet::scaling::{ZoneFleet, ZoneOrder, plan};
+use fl_fleet::scaling::{Need, ZoneFleet, ZoneOrder, plan};
 use fl_kernel::forward::{DutyToken, FleetOrder, OrderOutcome, PlatformError};
 use fl_protocol::ServiceName;
 use fl_protocol::forward::{ScalingFacts, ServerEntry};
@@ -14,11 +14,13 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 /// Heartbeats after which all living servers have registered.
 const REGISTRATION_HEARTBEATS: u32 = 4;
-/// Share of a server's time that reads prompts when a first token still comes soon.
-const BUSY_SHARE: f64 = 0.4;
-/// Share of the servers found at the start that the demand is assumed to keep busy before any was
+/// Share of a server's time that reads prompts when first tokens come soon.
+const AMPLE_BUSY_SHARE: f64 = 0.4;
+/// Share of a server's time that reads prompts when first tokens still come in time.
+const LEAST_BUSY_SHARE: f64 = 0.65;
+/// Share of the servers found at the start that the demand is assumed to keep busy before it was
 /// measured.
-const FIRST_BUSY_SHARE: f64 = 0.7;
+const FIRST_BUSY_SHARE: f64 = 0.28;
 /// How much longer than the boot an order may take before it is given again.
 const ORDER_MARGIN: Duration = Duration::from_millis(2500);
 /// How long a data centre that had no reclaimable servers is not asked again.
@@ -79,7 +81,7 @@
     let now = boot_time();
     let table = node.declared.table();
     let rate = node.servers.read_rate();
-    let busy = |tokens_per_s: f64| rate.read_ms(tokens_per_s as u64) / MS_PER_S / BUSY_SHARE;
+    let busy = |tokens_per_s: f64| rate.read_ms(tokens_per_s as u64) / MS_PER_S;
     for service in table.services.iter().filter(|service| service.scaling.is_some()) {
         let total = node.servers.demand(&service.name) + node.peers.demand(&service.name);
         orders.state(&service.name).meter.take(now, total, busy);
@@ -113,11 +115,14 @@
         if !state.meter.is_settled(now) {
             state.meter.suggest(suggested(&zones));
         }
-        let needed = state.meter.needed();
-        for (order, fleet) in plan(facts, &zones, needed).iter().zip(&zones) {
+        let need = Need {
+            ample: state.meter.highest() / AMPLE_BUSY_SHARE,
+            least: state.meter.now() / LEAST_BUSY_SHARE,
+        };
+        for (order, fleet) in plan(facts, &zones, need).iter().zip(&zones) {
             for wish in wishes(&service.name, order, fleet, all_registered) {
                 if state.is_due(&wish, facts) {
-                    state.send(node, token, wish, needed).await?;
+                    state.send(node, token, wish, need).await?;
                 }
             }
         }
@@ -125,14 +130,14 @@
     Ok(())
 }
 
-/// The need that what is there suggests: lasting servers found at the start are mostly more than
+/// The busy servers that what is there suggests: lasting servers found at the start are mostly more than
 /// enough, and reclaimable ones were ordered so that a data centre's may be lost.
 fn suggested(zones: &[ZoneFleet]) -> f64 {
     let lasting: u32 = zones.iter().map(|fleet| fleet.lasting).sum();
     let reclaimable: Vec<u32> = zones.iter().map(|fleet| fleet.reclaimable).collect();
     let most = reclaimable.iter().max().copied().unwrap_or(0);
     let left = reclaimable.iter().sum::<u32>() - most;
-    (f64::from(lasting) * FIRST_BUSY_SHARE).max(f64::from(left))
+    (f64::from(lasting) * FIRST_BUSY_SHARE).max(f64::from(left) * AMPLE_BUSY_SHARE)
 }
 
 impl Orders {
@@ -218,7 +223,7 @@
         node: &Node,
         token: &DutyToken,
         wish: Wish,
-        needed: f64,
+        need: Need,
     ) -> Result<(), PlatformError> {
         let Wish { order, present } = wish;
         let Some(duties) = &node.ports.duties else { return Ok(()) };
@@ -234,7 +239,8 @@
             reclaimable: order.reclaimable,
             wanted: order.servers,
             present,
-            demand: needed,
+            needed_ample: need.ample,
+            needed_least: need.least,
             fencing: token.fencing,
             outcome: &outcome,
         });
--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -35,6 +35,7 @@
     ServerChanged<'_> => "server_changed",
     ServerEntryUnreadable<'_> => "server_entry_unreadable",
     CallRefused<'_> => "call_refused",
+    QuotaShort<'_> => "quota_short",
     AttemptFailed<'_> => "attempt_failed",
     CallEnded<'_> => "call_ended",
     StreamResumed<'_> => "stream_resumed",
@@ -180,6 +181,23 @@
     pub held_ms: u64,
 }
 
+/// A workspace's quota did not suffice for a call.
+#[derive(Debug, Serialize)]
+pub struct QuotaShort<'a> {
+    /// The attempt of the caller.
+    pub request_id: &'a str,
+    /// The workspace.
+    pub workspace: &'a str,
+    /// Units asked for.
+    pub units: u64,
+    /// Units free over all nodes, as this node believed.
+    pub free: i64,
+    /// What the quota gains a second.
+    pub rate_per_s: u64,
+    /// Nodes that share it, as this node believed.
+    pub nodes: usize,
+}
+
 /// A call did not succeed at one backend server.
 #[derive(Debug, Serialize)]
 pub struct AttemptFailed<'a> {
@@ -292,8 +310,10 @@
     pub wanted: u32,
     /// How many there are.
     pub present: u32,
-    /// The demand that decided, in calls in flight.
-    pub demand: f64,
+    /// Servers that the highest demand of the last while asks for.
+    pub needed_ample: f64,
+    /// Servers that the demand of now asks for at least.
+    pub needed_least: f64,
     /// The fencing number.
     pub fencing: u64,
     /// What came of it.
--- a/crates/fl-forward/src/node.rs
+++ b/crates/fl-forward/src/node.rs
@@ -113,7 +113,7 @@
 
     /// Takes word that a new table is in force.
     pub fn table_changed(&self) {
-        self.quotas.table_changed(&self.declared.table(), &self.settings.bounds);
+        self.quotas.table_changed(&self.declared.table(), &self.settings);
     }
 }
 
--- a/crates/fl-forward/src/peers.rs
+++ b/crates/fl-forward/src/peers.rs
@@ -20,6 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 /// The table in which nodes register their address.
 const NODE_TABLE: &str = "nodes";
@@ -27,6 +28,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two reports grows by this for each peer, so that a large fleet costs no more.
 const INTERVAL_PER_PEER: Duration = Duration::from_millis(12);
+/// Shortest time between two reports when news is urgent, and what each peer adds to it.
+const URGENT_INTERVAL: Duration = Duration::from_millis(10);
+const URGENT_INTERVAL_PER_PEER: Duration = Duration::from_millis(2);
 /// Reports missed before a peer counts as silent.
 const REPORTS_MISSED: u32 = 4;
 /// How long a silent peer may still admit calls; its keys lose their force by then.
@@ -61,8 +65,8 @@
     pub duty_fencing: Option<u64>,
     /// Calls at servers: hash of the name, calls, unread tokens.
     pub loads: Vec<(u64, u32, u64)>,
-    /// Quotas: workspace, units taken, level.
-    pub quotas: Vec<(WorkspaceName, f64, f64)>,
+    /// Quotas: workspace, units taken, level, whether the level is a guess.
+    pub quotas: Vec<(WorkspaceName, f64, f64, bool)>,
     /// Prompt tokens sent to be read since its process started, by service.
     pub demand: Vec<(ServiceName, u64)>,
     /// Calls that began to run, by window.
@@ -84,6 +88,7 @@
 pub struct Peers {
     own: SocketAddr,
     state: Mutex<State>,
+    has_news: Notify,
 }
 
 #[derive(Default)]
@@ -100,7 +105,7 @@
     /// Knows nobody yet.
     pub fn new(settings: &ForwardSettings) -> Self {
         let state = State { started_ms: unix_ms(), ..State::default() };
-        Peers { own: settings.peers, state: Mutex::new(state) }
+        Peers { own: settings.peers, state: Mutex::new(state), has_news: Notify::new() }
     }
 
     /// Nodes that may admit calls, this one included.
@@ -135,6 +140,16 @@
         REPORT_INTERVAL.max(INTERVAL_PER_PEER * peers)
     }
 
+    /// Asks for a report as soon as the pace of urgent ones allows.
+    pub fn tell_soon(&self) {
+        self.has_news.notify_one();
+    }
+
+    fn urgent_interval(&self) -> Duration {
+        let peers = self.state.lock().peers.len() as u32;
+        URGENT_INTERVAL + URGENT_INTERVAL_PER_PEER * peers
+    }
+
     fn know(&self, address: SocketAddr) {
         if address == self.own {
             return;
@@ -278,9 +293,15 @@
                 let _ = socket.try_send_to(&bytes, address);
             }
         }
-        if node.pause(node.peers.interval()).await.is_none() {
+        if node.pause(node.peers.urgent_interval()).await.is_none() {
             return;
         }
+        let usual = node.peers.interval().saturating_sub(node.peers.urgent_interval());
+        tokio::select! {
+            () = node.cancel.cancelled() => return,
+            () = tokio::time::sleep(usual) => {}
+            () = node.peers.has_news.notified() => {}
+        }
     }
 }
 
@@ -316,8 +337,8 @@
     more.collect()
 }
 
-fn quota_entry(own: WorkspaceReport) -> (WorkspaceName, f64, f64) {
-    (own.workspace, own.report.taken, own.report.level)
+fn quota_entry(own: WorkspaceReport) -> (WorkspaceName, f64, f64, bool) {
+    (own.workspace, own.report.taken, own.report.level, own.report.is_guess)
 }
 
 /// Names one life of a node's process.
@@ -337,10 +358,11 @@
         };
         node.declared.hear_of(report.table_version);
         let vm = report.vm.clone();
-        let told = report.quotas.iter().map(|(workspace, taken, level)| WorkspaceReport {
-            workspace: workspace.clone(),
-            report: QuotaReport { taken: *taken, level: *level },
-        });
+        let told =
+            report.quotas.iter().map(|(workspace, taken, level, is_guess)| WorkspaceReport {
+                workspace: workspace.clone(),
+                report: QuotaReport { taken: *taken, level: *level, is_guess: *is_guess },
+            });
         node.quotas.hear(life(&report), &told.collect::<Vec<_>>());
         if let Some(silence) = node.peers.take(from, report) {
             let silent_ms = silence.as_millis() as u64;
--- a/crates/fl-kernel/src/forward.rs
+++ b/crates/fl-kernel/src/forward.rs
@@ -238,6 +238,8 @@
     pub peers: SocketAddr,
     /// Where metrics are read.
     pub metrics: SocketAddr,
+    /// Whether the whole system starts for the first time.
+    pub is_first_start: bool,
     /// Memory the process may use.
     pub memory_bytes: u64,
     /// Time between two writes of a backend server's registry entry.
--- a/crates/fl-limits/src/lib.rs
+++ b/crates/fl-limits/src/lib.rs
@@ -17,5 +17,5 @@
 pub use fair_queue::{FairQueue, Ticket};
 pub use repeat_window::RepeatWindow;
 pub use retry_budget::RetryBudget;
-pub use shared_quota::{QuotaLimit, QuotaReport, SharedQuota};
+pub use shared_quota::{QuotaLimit, QuotaReport, QuotaShortage, SharedQuota};
 pub use token_bucket::TokenBucket;
--- a/crates/fl-limits/src/shared_quota.rs
+++ b/crates/fl-limits/src/shared_quota.rs
@@ -8,6 +8,10 @@
 
 /// Time over which a peer's pace is averaged.
 const PACE_MEMORY: Duration = Duration::from_millis(1500);
+/// How long a level that began as a guess stays one; what was taken before is over by then.
+const GUESS_TIME: Duration = Duration::from_secs(10);
+/// A quota is scarce when less is left than it gains in this time.
+const SCARCE_TIME: Duration = Duration::from_millis(1000);
 /// The longest time to come back that callers are told; quotas may change meanwhile.
 const RETRY_MAX: Duration = Duration::from_secs(10);
 
@@ -29,6 +33,22 @@
     pub taken: f64,
     /// The level it believes in.
     pub level: f64,
+    /// Whether the level is a guess, since the node knows nothing of what was taken before it
+    /// started.
+    pub is_guess: bool,
+}
+
+/// Why units were not given.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaShortage {
+    /// Units asked for.
+    pub units: f64,
+    /// What was free, as believed.
+    pub free: f64,
+    /// What the quota gains a second.
+    pub rate_per_s: f64,
+    /// When enough should be free.
+    pub retry_after: Duration,
 }
 
 /// A peer's part in a quota.
@@ -47,14 +67,25 @@
     level: f64,
     taken: f64,
     as_of: Duration,
+    guess_until: Option<Duration>,
     /// Sorted by peer.
     peers: Vec<PeerPace>,
 }
 
 impl SharedQuota {
-    /// Starts with a full bucket.
-    pub fn new(limit: QuotaLimit, now: Duration) -> Self {
-        SharedQuota { limit, level: limit.burst, taken: 0.0, as_of: now, peers: Vec::new() }
+    /// Starts with a full bucket, for a quota that nobody has used yet.
+    pub fn unused(limit: QuotaLimit, now: Duration) -> Self {
+        let level = limit.burst;
+        SharedQuota { limit, level, taken: 0.0, as_of: now, guess_until: None, peers: Vec::new() }
+    }
+
+    /// Starts with nothing to spare, for a quota that others may have used up just before.
+    ///
+    /// All nodes may have lost their memory at once; full buckets would give the burst twice.
+    pub fn unknown(limit: QuotaLimit, now: Duration) -> Self {
+        let guess_until = Some(now + GUESS_TIME);
+        let level = -limit.tolerance;
+        SharedQuota { level, guess_until, ..Self::unused(limit, now) }
     }
 
     /// Takes a new version of the quota; a greater burst may be used at once.
@@ -68,20 +99,21 @@
     /// What the peers are told.
     pub fn report(&mut self, now: Duration) -> QuotaReport {
         self.refill(now);
-        QuotaReport { taken: self.taken, level: self.level }
+        let is_guess = self.guess_until.is_some();
+        QuotaReport { taken: self.taken, level: self.level, is_guess }
     }
 
     /// Takes a peer's report; `peer` names one life of its process.
     ///
     /// A node that hears of a peer for the first time knows nothing of what all took before, so it
-    /// takes the peer's word for the level if that is lower.
+    /// takes the peer's word for the level if that is lower or its own is a guess.
     pub fn hear(&mut self, peer: u64, report: QuotaReport, now: Duration) {
         self.refill(now);
         let place = self.peers.binary_search_by_key(&peer, |known| known.peer);
         let Ok(place) = place else {
             let pace = PeerPace { peer, taken: report.taken, pace_per_s: 0.0, heard_at: now };
             self.peers.insert(place.unwrap_or_else(|place| place), pace);
-            self.level = self.level.min(report.level);
+            self.take_level(report);
             return;
         };
         let known = &mut self.peers[place];
@@ -94,6 +126,14 @@
         self.level -= took;
     }
 
+    fn take_level(&mut self, report: QuotaReport) {
+        if report.is_guess {
+            return;
+        }
+        let knows = self.guess_until.take().is_none();
+        self.level = if knows { self.level.min(report.level) } else { report.level };
+    }
+
     /// Forgets peers that may take nothing any more; `may_take` judges them.
     pub fn forget(&mut self, may_take: impl Fn(u64) -> bool) {
         self.peers.retain(|known| may_take(known.peer));
@@ -103,7 +143,7 @@
     ///
     /// A call of more units than the bucket ever holds is let through from a full bucket and paid
     /// off afterwards, since it could otherwise never pass.
-    pub fn try_take(&mut self, units: f64, now: Duration) -> Result<(), Duration> {
+    pub fn try_take(&mut self, units: f64, now: Duration) -> Result<(), QuotaShortage> {
         self.refill(now);
         let free = self.level - self.assumed(now) + self.limit.tolerance;
         let needed = units.min(self.limit.burst + self.limit.tolerance);
@@ -112,8 +152,18 @@
             self.taken += units;
             return Ok(());
         }
-        let refill_s = (needed - free) / self.limit.rate_per_s.max(f64::MIN_POSITIVE);
-        Err(Duration::from_secs_f64(refill_s.min(RETRY_MAX.as_secs_f64())))
+        let rate_per_s = self.limit.rate_per_s;
+        let refill_s = (needed - free) / rate_per_s.max(f64::MIN_POSITIVE);
+        let retry_after = Duration::from_secs_f64(refill_s.min(RETRY_MAX.as_secs_f64()));
+        Err(QuotaShortage { units, free, rate_per_s, retry_after })
+    }
+
+    /// Says whether so little is left that nodes must tell each other at once what they take: each
+    /// would otherwise give away the same rest.
+    pub fn is_scarce(&mut self, now: Duration) -> bool {
+        self.refill(now);
+        let left = self.level - self.assumed(now) + self.limit.tolerance;
+        left < self.limit.rate_per_s * SCARCE_TIME.as_secs_f64()
     }
 
     /// Units that the peers are assumed to have taken since they last spoke.
@@ -128,5 +178,8 @@
         self.as_of = self.as_of.max(now);
         let refilled = self.level + self.limit.rate_per_s * elapsed_s;
         self.level = refilled.min(self.limit.burst);
+        if self.guess_until.is_some_and(|until| now >= until) {
+            self.guess_until = None;
+        }
     }
 }
--- a/crates/fl-limits/tests/shared_quota.rs
+++ b/crates/fl-limits/tests/shared_quota.rs
@@ -20,7 +20,7 @@
 
 impl Fleet {
     fn new(nodes: usize) -> Self {
-        let nodes = (0..nodes).map(|_| SharedQuota::new(LIMIT, at(0))).collect();
+        let nodes = (0..nodes).map(|_| SharedQuota::unused(LIMIT, at(0))).collect();
         Fleet { nodes, taken: Vec::new() }
     }
 
@@ -104,23 +104,51 @@
 
 #[test]
 fn lower_limit_binds() {
-    let mut quota = SharedQuota::new(LIMIT, at(0));
+    let mut quota = SharedQuota::unused(LIMIT, at(0));
     let lower = QuotaLimit { rate_per_s: 1_000.0, burst: 1_000.0, tolerance: 0.0 };
     quota.set_limit(lower, at(10));
     assert!(quota.try_take(1_000.0, at(20)).is_ok());
     let wait = quota.try_take(1_000.0, at(20));
-    assert!(wait.is_err_and(|wait| wait <= Duration::from_secs(1)));
+    assert!(wait.is_err_and(|short| short.retry_after <= Duration::from_secs(1)));
 }
 
 #[test]
 fn new_node_learns_level() {
-    let mut old = SharedQuota::new(LIMIT, at(0));
+    let mut old = SharedQuota::unused(LIMIT, at(0));
     assert!(old.try_take(140_000.0, at(0)).is_ok());
-    let mut new = SharedQuota::new(LIMIT, at(10));
+    let mut new = SharedQuota::unused(LIMIT, at(10));
     new.hear(1, old.report(at(10)), at(10));
     assert!(new.try_take(50_000.0, at(20)).is_err());
 }
 
+#[test]
+fn all_nodes_lose_their_memory() {
+    let mut fleet = Fleet::new(6);
+    fleet.report(0, |_, _| true);
+    for step in 0..1_600 {
+        let now_ms = step * 10;
+        if now_ms == 8_000 {
+            fleet.nodes = (0..6).map(|_| SharedQuota::unknown(LIMIT, at(now_ms))).collect();
+        }
+        if now_ms % REPORT_EVERY_MS == 0 {
+            fleet.report(now_ms, |_, _| true);
+        }
+        fleet.ask((step % 6) as usize, 4_000.0, now_ms);
+    }
+    let allowed = (LIMIT.rate_per_s * 8.0 + LIMIT.burst) * 1.1 + 140_000.0;
+    let most = fleet.most_in(8_000);
+    assert!(most <= allowed, "{most} of {allowed}");
+}
+
+#[test]
+fn restarted_node_learns_level() {
+    let mut old = SharedQuota::unused(LIMIT, at(0));
+    let mut new = SharedQuota::unknown(LIMIT, at(10));
+    assert!(new.try_take(50_000.0, at(10)).is_err());
+    new.hear(1, old.report(at(10)), at(10));
+    assert!(new.try_take(50_000.0, at(20)).is_ok());
+}
+
 proptest! {
     /// Whatever the calls and whichever nodes take them, what is taken stays within what was
     /// promised while nodes hear each other.
