Tell loads every 60 ms and keep urgent prompts apart in placement

Cause: short questions waited behind long prompts that five other nodes had sent up to 250 ms before. Ruled out: too few servers alone (late questions stood at servers with one long prompt while others were idle).

--- a/crates/fl-forward/src/drive.rs
+++ b/crates/fl-forward/src/drive.rs
@@ -191,13 +191,14 @@
         return Err(Stop::Refused(out_of_time(progress)));
     }
     let model = call.head.model.as_ref();
+    let is_urgent = is_urgent(&call.admitted);
     let own_zone = &node.settings.zone;
     let service = &call.admitted.service;
-    let chosen = node.servers.choose(service, model, own_zone, &progress.left_out);
+    let chosen = node.servers.choose(service, model, is_urgent, own_zone, &progress.left_out);
     let Some(chosen) = chosen else {
         return Err(Stop::Refused(given_up(progress, "no backend server can take the call")));
     };
-    let in_flight = InFlight::begin(node, &chosen);
+    let in_flight = InFlight::begin(node, &chosen, is_urgent);
     let sent_at = Instant::now();
     let sending = send(node, call, &chosen, last_event_id);
     let sent = match tokio::time::timeout_at(call.admitted.deadline, sending).await {
@@ -284,6 +285,11 @@
     }
 }
 
+/// Whether a call belongs to the band whose first token is due soonest.
+fn is_urgent(admitted: &Admitted) -> bool {
+    admitted.route.target <= TARGET_BANDS[0]
+}
+
 /// Urgency at a model engine: the call's rank first, then how soon its first token is due.
 ///
 /// A short question that waits behind the reading of a long prompt is late, but a long prompt hardly
--- a/crates/fl-forward/src/peers.rs
+++ b/crates/fl-forward/src/peers.rs
@@ -24,15 +24,17 @@
 
 /// The table in which nodes register their address.
 const NODE_TABLE: &str = "nodes";
-/// Time between two reports to one peer in a small fleet.
-const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two reports to one peer in a small fleet. Calls are placed by what peers told of
+/// their own, so this is the age of most of what a placement rests on.
+const REPORT_INTERVAL: Duration = Duration::from_millis(60);
 /// Time between two reports grows by this for each peer, so that a large fleet costs no more.
 const INTERVAL_PER_PEER: Duration = Duration::from_millis(12);
 /// Shortest time between two reports when news is urgent, and what each peer adds to it.
 const URGENT_INTERVAL: Duration = Duration::from_millis(10);
 const URGENT_INTERVAL_PER_PEER: Duration = Duration::from_millis(2);
-/// Reports missed before a peer counts as silent.
+/// Reports missed before a peer counts as silent, and the least time for that.
 const REPORTS_MISSED: u32 = 4;
+const SILENCE_LEAST: Duration = Duration::from_millis(1000);
 /// How long a silent peer may still admit calls; its keys lose their force by then.
 const HOLDS_SHARE: Duration = Duration::from_secs(6);
 /// How long a silent peer is remembered, so that its counts are not lost before they are reported.
@@ -63,8 +65,8 @@
     pub admits: bool,
     /// The fencing number of the duties' lease, if it holds it.
     pub duty_fencing: Option<u64>,
-    /// Calls at servers: hash of the name, calls, unread tokens.
-    pub loads: Vec<(u64, u32, u64)>,
+    /// Calls at servers.
+    pub loads: Vec<OwnLoad>,
     /// Quotas: workspace, units taken, level, whether the level is a guess.
     pub quotas: Vec<(WorkspaceName, f64, f64, bool)>,
     /// Prompt tokens sent to be read since its process started, by service.
@@ -195,7 +197,7 @@
     /// Marks peers that fell silent and forgets those long gone; gives the newly silent.
     fn review(&self) -> Vec<(VmName, Duration)> {
         let now = boot_time();
-        let limit = self.interval() * REPORTS_MISSED;
+        let limit = SILENCE_LEAST.max(self.interval() * REPORTS_MISSED);
         let mut state = self.state.lock();
         state.peers.retain(|peer| peer.silence(now) < REMEMBERED || peer.heard_at.is_none());
         let mut silent = Vec::new();
@@ -213,17 +215,10 @@
         let state = self.state.lock();
         let mut sums: Vec<OwnLoad> = Vec::new();
         let heard = state.peers.iter().filter(|peer| !peer.is_silent);
-        for (server, in_flight, unread_tokens) in heard.flat_map(|peer| &peer.report.loads) {
-            match sums.binary_search_by_key(server, |load| load.server) {
-                Ok(place) => {
-                    sums[place].in_flight += in_flight;
-                    sums[place].unread_tokens += unread_tokens;
-                }
-                Err(place) => {
-                    let (server, in_flight) = (*server, *in_flight);
-                    let load = OwnLoad { server, in_flight, unread_tokens: *unread_tokens };
-                    sums.insert(place, load);
-                }
+        for load in heard.flat_map(|peer| &peer.report.loads) {
+            match sums.binary_search_by_key(&load.server, |sum| sum.server) {
+                Ok(place) => sums[place].add(load),
+                Err(place) => sums.insert(place, *load),
             }
         }
         sums
@@ -310,7 +305,6 @@
     state.sequence += 1;
     let (sequence, started_ms) = (state.sequence, state.started_ms);
     drop(state);
-    let loads = node.servers.own_load().into_iter();
     let quotas = node.quotas.reports().into_iter();
     Report {
         vm: node.settings.vm.clone(),
@@ -320,7 +314,7 @@
         table_version: node.declared.table().version,
         admits: !node.is_leaving(),
         duty_fencing: node.duty.fencing(),
-        loads: loads.map(|load| (load.server, load.in_flight, load.unread_tokens)).collect(),
+        loads: node.servers.own_load(),
         quotas: quotas.map(quota_entry).collect(),
         demand: node.servers.demands(),
         usage: node.usage.all(),
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -5,10 +5,11 @@
 use crate::node::Node;
 use fl_protocol::ServiceName;
 use fl_protocol::forward::{ModelCall, ServerEntry, ServerName};
-use fl_routing::placement::{Candidate, Placement, ReadRate, ServerPressure, place};
+use fl_routing::placement::{Candidate, Placement, ReadRate, ServerPressure, Wish, place};
 use fl_routing::registered::{RegisteredServers, RegistryChange};
 use fl_routing::rendezvous::name_hash;
 use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -42,12 +43,10 @@
 /// What this node knows of one server besides its entry.
 struct Known {
     name: ServerName,
-    hash: u64,
-    in_flight: u32,
-    unread_tokens: u64,
-    /// Calls and unread tokens of the peers, from their last reports.
-    peers_in_flight: u32,
-    peers_unread_tokens: u64,
+    /// This node's calls there.
+    own: OwnLoad,
+    /// Those of the peers, from their last reports.
+    peers: OwnLoad,
     suspicion: f64,
     suspicion_at: Duration,
 }
@@ -64,7 +63,7 @@
 }
 
 /// This node's calls at one server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnLoad {
     /// The hash of the server's name.
     pub server: u64,
@@ -72,6 +71,33 @@
     pub in_flight: u32,
     /// Prompt tokens of them that the server has not read.
     pub unread_tokens: u64,
+    /// Those of urgent calls among them.
+    pub urgent_unread_tokens: u64,
+}
+
+impl OwnLoad {
+    fn none(server: u64) -> Self {
+        OwnLoad { server, in_flight: 0, unread_tokens: 0, urgent_unread_tokens: 0 }
+    }
+
+    fn begin(&mut self, unread_tokens: u64, is_urgent: bool) {
+        self.in_flight += 1;
+        self.unread_tokens += unread_tokens;
+        self.urgent_unread_tokens += if is_urgent { unread_tokens } else { 0 };
+    }
+
+    fn read(&mut self, tokens: u64, is_urgent: bool) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(tokens);
+        let urgent = if is_urgent { tokens } else { 0 };
+        self.urgent_unread_tokens = self.urgent_unread_tokens.saturating_sub(urgent);
+    }
+
+    /// Adds another node's calls at the same server.
+    pub fn add(&mut self, other: &OwnLoad) {
+        self.in_flight += other.in_flight;
+        self.unread_tokens += other.unread_tokens;
+        self.urgent_unread_tokens += other.urgent_unread_tokens;
+    }
 }
 
 /// Counts a call at a server until it ends.
@@ -79,6 +105,7 @@
     node: Arc<Node>,
     server: ServerName,
     unread_tokens: u64,
+    is_urgent: bool,
     /// Whether the server had nothing else to read, so that its pace can be learned.
     is_alone: bool,
 }
@@ -89,6 +116,7 @@
         &self,
         service: &str,
         call: Option<&ModelCall>,
+        is_urgent: bool,
         own_zone: &str,
         left_out: &[ServerName],
     ) -> Option<Chosen> {
@@ -100,7 +128,8 @@
             .filter(|entry| entry.service == service && !left_out.contains(&entry.name))
             .map(|entry| state.candidate(entry, now))
             .collect();
-        let placement = place(call, &candidates, own_zone, state.rate, rand::random::<f64>)?;
+        let wish = Wish { call, is_urgent, own_zone };
+        let placement = place(&wish, &candidates, state.rate, rand::random::<f64>)?;
         let candidate = candidates.get(placement.index)?;
         let in_flight = candidate.pressure.in_flight;
         Some(Chosen { entry: candidate.entry.clone(), placement, in_flight })
@@ -119,13 +148,8 @@
     /// This node's calls at each server that has some.
     pub fn own_load(&self) -> Vec<OwnLoad> {
         let state = self.state.lock();
-        let busy = state.known.iter().filter(|known| known.in_flight > 0);
-        busy.map(|known| OwnLoad {
-            server: known.hash,
-            in_flight: known.in_flight,
-            unread_tokens: known.unread_tokens,
-        })
-        .collect()
+        let busy = state.known.iter().filter(|known| known.own.in_flight > 0);
+        busy.map(|known| known.own).collect()
     }
 
     /// Prompt tokens that this node sent to be read, by service.
@@ -149,10 +173,8 @@
     pub fn set_peers_load(&self, loads: &[OwnLoad]) {
         let mut state = self.state.lock();
         for known in &mut state.known {
-            let place = loads.binary_search_by_key(&known.hash, |load| load.server);
-            let load = place.ok().map(|place| loads[place]);
-            known.peers_in_flight = load.map_or(0, |load| load.in_flight);
-            known.peers_unread_tokens = load.map_or(0, |load| load.unread_tokens);
+            let place = loads.binary_search_by_key(&known.hash(), |load| load.server);
+            known.peers = place.map_or(OwnLoad::none(known.hash()), |place| loads[place]);
         }
     }
 
@@ -187,7 +209,7 @@
         let place = self.known.binary_search_by(|known| known.name.cmp(&entry.name));
         let known = place.ok().map(|place| &self.known[place]);
         let pressure = known.map_or_else(ServerPressure::default, |known| known.pressure(now));
-        let name_hash = known.map_or(0, |known| known.hash);
+        let name_hash = known.map_or(0, Known::hash);
         Candidate { entry, name_hash, pressure }
     }
 
@@ -196,7 +218,7 @@
         let mut listed: Vec<&ServerEntry> = self.registered.usable().collect();
         listed.sort_by(|a, b| a.name.cmp(&b.name));
         self.known.retain(|known| {
-            known.in_flight > 0
+            known.own.in_flight > 0
                 || listed.binary_search_by(|entry| entry.name.cmp(&known.name)).is_ok()
         });
         for entry in listed {
@@ -211,20 +233,24 @@
     fn new(name: &str) -> Self {
         Known {
             name: name.to_string(),
-            hash: name_hash(name),
-            in_flight: 0,
-            unread_tokens: 0,
-            peers_in_flight: 0,
-            peers_unread_tokens: 0,
+            own: OwnLoad::none(name_hash(name)),
+            peers: OwnLoad::none(name_hash(name)),
             suspicion: 0.0,
             suspicion_at: Duration::ZERO,
         }
     }
 
+    fn hash(&self) -> u64 {
+        self.own.server
+    }
+
     fn pressure(&self, now: Duration) -> ServerPressure {
+        let mut load = self.own;
+        load.add(&self.peers);
         ServerPressure {
-            in_flight: self.in_flight + self.peers_in_flight,
-            unread_tokens: self.unread_tokens + self.peers_unread_tokens,
+            in_flight: load.in_flight,
+            unread_tokens: load.unread_tokens,
+            urgent_unread_tokens: load.urgent_unread_tokens,
             suspicion: self.suspicion_now(now),
         }
     }
@@ -237,21 +263,20 @@
 
 impl InFlight {
     /// Counts a call at a chosen server.
-    pub fn begin(node: &Arc<Node>, chosen: &Chosen) -> Self {
+    pub fn begin(node: &Arc<Node>, chosen: &Chosen, is_urgent: bool) -> Self {
         let unread_tokens = chosen.placement.read_tokens;
-        node.servers.with_known(&chosen.entry.name, |known| {
-            known.in_flight += 1;
-            known.unread_tokens += unread_tokens;
-        });
+        let server = chosen.entry.name.clone();
+        node.servers.with_known(&server, |known| known.own.begin(unread_tokens, is_urgent));
         node.servers.count_demand(&chosen.entry.service, unread_tokens);
         let is_alone = chosen.in_flight == 0;
-        InFlight { node: node.clone(), server: chosen.entry.name.clone(), unread_tokens, is_alone }
+        InFlight { node: node.clone(), server, unread_tokens, is_urgent, is_alone }
     }
 
     /// Takes word that the first token came: the prompt was read.
     pub fn first_token(&mut self, after: Duration) {
         let read = std::mem::take(&mut self.unread_tokens);
-        self.node.servers.with_known(&self.server, |known| known.unread_tokens -= read);
+        let is_urgent = self.is_urgent;
+        self.node.servers.with_known(&self.server, |known| known.own.read(read, is_urgent));
         if self.is_alone {
             let first_token_ms = after.as_secs_f64() * 1000.0;
             self.node.servers.state.lock().rate.observe(read, first_token_ms);
@@ -261,10 +286,10 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        let unread_tokens = self.unread_tokens;
+        let (unread_tokens, is_urgent) = (self.unread_tokens, self.is_urgent);
         self.node.servers.with_known(&self.server, |known| {
-            known.in_flight = known.in_flight.saturating_sub(1);
-            known.unread_tokens = known.unread_tokens.saturating_sub(unread_tokens);
+            known.own.in_flight = known.own.in_flight.saturating_sub(1);
+            known.own.read(unread_tokens, is_urgent);
         });
     }
 }
--- a/crates/fl-routing/src/placement.rs
+++ b/crates/fl-routing/src/placement.rs
@@ -20,6 +20,8 @@
 const FAR_MS: f64 = 3.0;
 /// What a failure of a server seen lately costs, in milliseconds.
 const SUSPECT_MS: f64 = 400.0;
+/// Part of the prompts of less urgent calls that is still read before an urgent one.
+const PASSED_SHARE: f64 = 0.3;
 /// Calls in flight beyond the slots cost this much each, in milliseconds.
 const QUEUED_MS: f64 = 50.0;
 
@@ -30,10 +32,23 @@
     pub in_flight: u32,
     /// Prompt tokens that it has not read yet.
     pub unread_tokens: u64,
+    /// Those of urgent calls among them.
+    pub urgent_unread_tokens: u64,
     /// How suspect it is, 0 to 1, from failures seen lately.
     pub suspicion: f64,
 }
 
+/// A call that wants a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish<'a> {
+    /// What a model call says of itself.
+    pub call: Option<&'a ModelCall>,
+    /// Whether model engines read its prompt before those of other calls.
+    pub is_urgent: bool,
+    /// The data centre that it came to.
+    pub own_zone: &'a str,
+}
+
 /// A server that could take a call.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate<'a> {
@@ -89,20 +104,19 @@
 
 /// Chooses the server with the least predicted wait; `spread` breaks ties, 0 to 1 per candidate.
 pub fn place(
-    call: Option<&ModelCall>,
+    wish: &Wish,
     candidates: &[Candidate],
-    own_zone: &str,
     rate: ReadRate,
     mut spread: impl FnMut() -> f64,
 ) -> Option<Placement> {
-    let shared = call.and_then(ModelCall::shared_part);
+    let shared = wish.call.and_then(ModelCall::shared_part);
     let home = shared.and_then(|part| home(part.id, candidates));
     let mut best: Option<(f64, Placement)> = None;
     for (index, candidate) in candidates.iter().enumerate() {
-        let cached = if home == Some(index) { cached_tokens(call) } else { 0 };
-        let read_tokens = call.map_or(0, |call| call.prompt_tokens.saturating_sub(cached));
-        let wait_ms = wait_ms(candidate, read_tokens, rate);
-        let far_ms = if candidate.entry.zone == own_zone { 0.0 } else { FAR_MS };
+        let cached = if home == Some(index) { cached_tokens(wish.call) } else { 0 };
+        let read_tokens = wish.call.map_or(0, |call| call.prompt_tokens.saturating_sub(cached));
+        let wait_ms = wait_ms(wish, candidate, read_tokens, rate);
+        let far_ms = if candidate.entry.zone == wish.own_zone { 0.0 } else { FAR_MS };
         let cost_ms = wait_ms + far_ms + SUSPECT_MS * candidate.pressure.suspicion + spread();
         if best.is_none_or(|(least_ms, _)| cost_ms < least_ms) {
             best = Some((cost_ms, Placement { index, wait_ms, read_tokens }));
@@ -127,9 +141,16 @@
     parts[..shared].iter().map(|part| part.tokens).sum()
 }
 
-fn wait_ms(candidate: &Candidate, read_tokens: u64, rate: ReadRate) -> f64 {
+fn wait_ms(wish: &Wish, candidate: &Candidate, read_tokens: u64, rate: ReadRate) -> f64 {
     let pressure = &candidate.pressure;
-    let reading_ms = rate.read_ms(pressure.unread_tokens + read_tokens);
+    let ahead = match wish.is_urgent {
+        true => {
+            let others = pressure.unread_tokens.saturating_sub(pressure.urgent_unread_tokens);
+            pressure.urgent_unread_tokens + (others as f64 * PASSED_SHARE) as u64
+        }
+        false => pressure.unread_tokens,
+    };
+    let reading_ms = rate.read_ms(ahead + read_tokens);
     let slots = candidate.entry.slots.max(1);
     let queued = (pressure.in_flight + 1).saturating_sub(slots);
     reading_ms + RUNNING_MS * f64::from(pressure.in_flight) + QUEUED_MS * f64::from(queued)
--- a/crates/fl-routing/tests/placement.rs
+++ b/crates/fl-routing/tests/placement.rs
@@ -1,7 +1,7 @@
 //! Where forwarded calls go, under the loads that it is for.
 
 use fl_protocol::forward::{ModelCall, PromptPart, ServerEntry, ServerState};
-use fl_routing::placement::{Candidate, ReadRate, ServerPressure, place};
+use fl_routing::placement::{Candidate, ReadRate, ServerPressure, Wish, place};
 use fl_routing::rendezvous::name_hash;
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
     let entry = |index: usize| ServerEntry {
         name: format!("server-{index}"),
         service: "model".to_string(),
-        address: "127.0.0.1:8000".parse().unwrap(),
+        address: ([127, 0, 0, 1], 8000).into(),
         zone: format!("zone-{}", index % 3),
         slots: 32,
         state: ServerState::Ready,
@@ -50,8 +50,18 @@
 }
 
 fn chosen(call: &ModelCall, servers: &[ServerEntry], pressures: &[ServerPressure]) -> usize {
+    chosen_by_urgency(call, false, servers, pressures)
+}
+
+fn chosen_by_urgency(
+    call: &ModelCall,
+    is_urgent: bool,
+    servers: &[ServerEntry],
+    pressures: &[ServerPressure],
+) -> usize {
     let candidates = candidates(servers, pressures);
-    place(Some(call), &candidates, "zone-0", rate(), || 0.0).unwrap().index
+    let wish = Wish { call: Some(call), is_urgent, own_zone: "zone-0" };
+    place(&wish, &candidates, rate(), || 0.0).map_or(usize::MAX, |placement| placement.index)
 }
 
 #[test]
@@ -73,6 +83,18 @@
     assert_ne!(chosen(&call(7, 5_000, 6_000), &servers, &pressures), home);
 }
 
+#[test]
+fn urgent_call_passes_long_prompts() {
+    let servers = servers(12);
+    let mut pressures = vec![ServerPressure::default(); 12];
+    let question = call(7, 2_000, 500);
+    let home = chosen_by_urgency(&question, true, &servers, &pressures);
+    pressures[home].unread_tokens = 4_000;
+    pressures[home].in_flight = 1;
+    assert_eq!(chosen_by_urgency(&question, true, &servers, &pressures), home);
+    assert_ne!(chosen_by_urgency(&question, false, &servers, &pressures), home);
+}
+
 #[test]
 fn suspect_server_avoided() {
     let servers = servers(3);
@@ -91,16 +113,18 @@
     let mut pressures = vec![ServerPressure::default(); 3];
     let near = |pressures: &[ServerPressure]| {
         let candidates = candidates(&servers, pressures);
-        place(None, &candidates, "zone-1", ReadRate::default(), || 0.0).unwrap().index
+        let wish = Wish { call: None, is_urgent: false, own_zone: "zone-1" };
+        place(&wish, &candidates, ReadRate::default(), || 0.0).map(|placement| placement.index)
     };
-    assert_eq!(near(&pressures), 1);
+    assert_eq!(near(&pressures), Some(1));
     pressures[1].in_flight = 7;
-    assert_ne!(near(&pressures), 1);
+    assert_ne!(near(&pressures), Some(1));
 }
 
 #[test]
 fn nobody_to_choose() {
-    assert!(place(None, &[], "zone-0", ReadRate::default(), || 0.0).is_none());
+    let wish = Wish { call: None, is_urgent: false, own_zone: "zone-0" };
+    assert!(place(&wish, &[], ReadRate::default(), || 0.0).is_none());
 }
 
 #[test]
--- a/crates/fl-routing/tests/registered.rs
+++ b/crates/fl-routing/tests/registered.rs
@@ -10,7 +10,7 @@
     ServerEntry {
         name: name.to_string(),
         service: "model".to_string(),
-        address: "127.0.0.1:8000".parse().unwrap(),
+        address: ([127, 0, 0, 1], 8000).into(),
         zone: "zone-a".to_string(),
         slots: 8,
         state,
