Learn the reading rate from long prompts at idle servers

Cause: the rate stood at 50 tokens a millisecond where servers read 101, as short prompts spend most of their time elsewhere, so the demand was taken for twice what it was. Shares of busy time move with it.

--- a/crates/fl-forward/src/duty/fleet.rs
+++ b/crates/fl-forward/src/duty/fleet.rs
@@ -15,12 +15,12 @@
 /// Heartbeats after which all living servers have registered.
 const REGISTRATION_HEARTBEATS: u32 = 4;
 /// Share of a server's time that reads prompts when first tokens come soon.
-const AMPLE_BUSY_SHARE: f64 = 0.4;
+const AMPLE_BUSY_SHARE: f64 = 0.3;
 /// Share of a server's time that reads prompts when first tokens still come in time.
-const LEAST_BUSY_SHARE: f64 = 0.65;
+const LEAST_BUSY_SHARE: f64 = 0.4;
 /// Share of the servers found at the start that the demand is assumed to keep busy before it was
 /// measured.
-const FIRST_BUSY_SHARE: f64 = 0.28;
+const FIRST_BUSY_SHARE: f64 = 0.2;
 /// How much longer than the boot an order may take before it is given again.
 const ORDER_MARGIN: Duration = Duration::from_millis(2500);
 /// How long a data centre that had no reclaimable servers is not asked again.
@@ -241,6 +241,7 @@
             present,
             needed_ample: need.ample,
             needed_least: need.least,
+            read_tokens_per_ms: node.servers.read_rate().tokens_per_ms(),
             fencing: token.fencing,
             outcome: &outcome,
         });
--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -314,6 +314,8 @@
     pub needed_ample: f64,
     /// Servers that the demand of now asks for at least.
     pub needed_least: f64,
+    /// The rate at which one server reads prompts, as learned.
+    pub read_tokens_per_ms: f64,
     /// The fencing number.
     pub fencing: u64,
     /// What came of it.
--- a/crates/fl-routing/src/placement.rs
+++ b/crates/fl-routing/src/placement.rs
@@ -9,11 +9,11 @@
 /// Reading rate assumed before one was observed, in tokens a millisecond.
 const FIRST_READ_RATE: f64 = 50.0;
 /// Weight of a reading that was faster than believed.
-const FASTER_WEIGHT: f64 = 0.2;
+const FASTER_WEIGHT: f64 = 0.3;
 /// Weight of a reading that was slower than believed.
-const SLOWER_WEIGHT: f64 = 0.02;
+const SLOWER_WEIGHT: f64 = 0.1;
 /// Reads shorter than this say little about the rate, in tokens.
-const LEARNED_TOKENS: u64 = 1000;
+const LEARNED_TOKENS: u64 = 2500;
 /// What each running call adds to the first token of a new one, in milliseconds.
 const RUNNING_MS: f64 = 1.0;
 /// What a call to another data centre costs more, in milliseconds.
@@ -96,6 +96,11 @@
         self.tokens_per_ms += (seen - self.tokens_per_ms) * memory;
     }
 
+    /// The rate.
+    pub fn tokens_per_ms(&self) -> f64 {
+        self.tokens_per_ms
+    }
+
     /// The time to read tokens, in milliseconds.
     pub fn read_ms(&self, tokens: u64) -> f64 {
         tokens as f64 / self.tokens_per_ms.max(f64::MIN_POSITIVE)
