--- a/crates/fl-standins/src/faults.rs
+++ b/crates/fl-standins/src/faults.rs
@@ -20,27 +20,29 @@
 
 /// The switches of one stand-in, set whole.
 #[derive(Default)]
-pub(crate) struct Switches<F> {
+pub struct Switches<F> {
     faults: RwLock<F>,
 }
 
 impl<F: Clone> Switches<F> {
-    pub(crate) fn get(&self) -> F {
+    /// The switches as they are.
+    pub fn get(&self) -> F {
         self.faults.read().clone()
     }
 
-    pub(crate) fn set(&self, faults: F) {
+    /// Sets all switches.
+    pub fn set(&self, faults: F) {
         *self.faults.write() = faults;
     }
 
     /// Changes the switches in one step and gives what the change returns.
-    pub(crate) fn change<R>(&self, change: impl FnOnce(&mut F) -> R) -> R {
+    pub fn change<R>(&self, change: impl FnOnce(&mut F) -> R) -> R {
         change(&mut self.faults.write())
     }
 }
 
 /// Takes one of the answers that are to be lost; false when none is left.
-pub(crate) fn take_one(left: &mut u64) -> bool {
+pub fn take_one(left: &mut u64) -> bool {
     if *left == 0 {
         return false;
     }
--- a/crates/fl-standins/src/host.rs
+++ b/crates/fl-standins/src/host.rs
@@ -22,10 +22,11 @@
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
 /// Counts the connections of one stand-in.
-pub(crate) type ConnectionNumber = u64;
+pub type ConnectionNumber = u64;
 
 /// Answers requests; an error closes the connection without an answer.
-pub(crate) trait Answers: Send + Sync + 'static {
+pub trait Answers: Send + Sync + 'static {
+    /// Answers one request.
     fn answer(
         self: Arc<Self>,
         request: Request<Incoming>,
@@ -40,7 +41,7 @@
 
 /// The open connections, sorted by number.
 #[derive(Default)]
-pub(crate) struct Connections {
+pub struct Connections {
     state: Mutex<ConnectionsState>,
 }
 
@@ -68,7 +69,7 @@
     }
 
     /// Silences every open connection but the one that asks for it.
-    pub(crate) fn silence_all_but(&self, exempt: Option<ConnectionNumber>) {
+    pub fn silence_all_but(&self, exempt: Option<ConnectionNumber>) {
         for open in &self.state.lock().open {
             if Some(open.number) != exempt {
                 open.silent.store(true, Ordering::Release);
@@ -77,13 +78,13 @@
     }
 
     /// Counts the connections that were ever accepted.
-    pub(crate) fn accepted(&self) -> u64 {
+    pub fn accepted(&self) -> u64 {
         self.state.lock().next
     }
 }
 
 /// One listening stand-in; dropping it ends the stand-in.
-pub(crate) struct Host {
+pub struct Host {
     address: SocketAddr,
     cancel: CancellationToken,
     tasks: TaskTracker,
@@ -91,7 +92,7 @@
 
 impl Host {
     /// Binds the address and answers on it until the host is stopped or dropped.
-    pub(crate) async fn start(address: SocketAddr, service: Arc<impl Answers>) -> io::Result<Host> {
+    pub async fn start(address: SocketAddr, service: Arc<impl Answers>) -> io::Result<Host> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let cancel = CancellationToken::new();
@@ -101,19 +102,20 @@
         Ok(Host { address, cancel, tasks })
     }
 
-    pub(crate) fn address(&self) -> SocketAddr {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// Closes the listener and all connections, and waits until that is done.
-    pub(crate) async fn stop(&self) {
+    pub async fn stop(&self) {
         self.cancel.cancel();
         self.tasks.close();
         self.tasks.wait().await;
     }
 
     /// Waits until the stand-in was stopped.
-    pub(crate) async fn ended(&self) {
+    pub async fn ended(&self) {
         self.cancel.cancelled().await;
     }
 }
@@ -125,7 +127,7 @@
 }
 
 /// Accepts connections until cancelled; the listener closes on return.
-pub(crate) async fn serve(
+pub async fn serve(
     listener: TcpListener,
     service: Arc<impl Answers>,
     connections: Arc<Connections>,
--- a/crates/fl-standins/src/http_parts.rs
+++ b/crates/fl-standins/src/http_parts.rs
@@ -14,23 +14,23 @@
 use thiserror::Error;
 
 /// The path of the fault switches.
-pub(crate) const FAULTS_PATH: &str = "/faults";
+pub const FAULTS_PATH: &str = "/faults";
 /// The path of the counters.
-pub(crate) const COUNTERS_PATH: &str = "/counters";
+pub const COUNTERS_PATH: &str = "/counters";
 /// The largest body a stand-in reads, in bytes.
 const BODY_LIMIT_BYTES: usize = 64 * 1024 * 1024;
 
 /// A response body.
-pub(crate) type Body = UnsyncBoxBody<Bytes, Infallible>;
+pub type Body = UnsyncBoxBody<Bytes, Infallible>;
 /// An answer, or the order to close the connection without one.
-pub(crate) type Reply = Result<Response<Body>, Closed>;
+pub type Reply = Result<Response<Body>, Closed>;
 
 /// the stand-in closes the connection without an answer; clear its fault switch to get one
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
-pub(crate) struct Closed;
+pub struct Closed;
 
 /// Builds a response from parts that are always valid.
-pub(crate) fn respond(status: StatusCode, content_type: &'static str, body: Bytes) -> Reply {
+pub fn respond(status: StatusCode, content_type: &'static str, body: Bytes) -> Reply {
     let mut response = Response::new(Full::new(body).boxed_unsync());
     *response.status_mut() = status;
     let content_type = header::HeaderValue::from_static(content_type);
@@ -38,7 +38,8 @@
     Ok(response)
 }
 
-pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Reply {
+/// Answers with a JSON value.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Reply {
     match serde_json::to_vec(value) {
         Ok(body) => respond(status, "application/json", Bytes::from(body)),
         Err(_) => Err(Closed),
@@ -46,7 +47,7 @@
 }
 
 /// Answers with an entity tag, or with 304 and no body to a reader that has this very value.
-pub(crate) fn tagged_json(
+pub fn tagged_json(
     known_tag: Option<&header::HeaderValue>,
     value: &impl Serialize,
 ) -> Reply {
@@ -62,23 +63,25 @@
     Ok(response)
 }
 
-pub(crate) fn text(status: StatusCode, message: &str) -> Reply {
+/// Answers with a text.
+pub fn text(status: StatusCode, message: &str) -> Reply {
     respond(status, "text/plain", Bytes::from(message.to_string()))
 }
 
-pub(crate) fn not_found() -> Reply {
+/// Answers 404.
+pub fn not_found() -> Reply {
     text(StatusCode::NOT_FOUND, "not known here\n")
 }
 
 /// Reads a whole body; a broken or oversized one closes the connection.
-pub(crate) async fn read_body(request: Request<Incoming>) -> Result<Bytes, Closed> {
+pub async fn read_body(request: Request<Incoming>) -> Result<Bytes, Closed> {
     let body = Limited::new(request.into_body(), BODY_LIMIT_BYTES);
     let collected = body.collect().await.map_err(|_| Closed)?;
     Ok(collected.to_bytes())
 }
 
 /// Reads a JSON body; the inner error is the answer to a malformed one.
-pub(crate) async fn read_json<T: DeserializeOwned>(
+pub async fn read_json<T: DeserializeOwned>(
     request: Request<Incoming>,
 ) -> Result<Result<T, Reply>, Closed> {
     let body = read_body(request).await?;
@@ -87,14 +90,14 @@
 }
 
 /// Finds a parameter of the query string.
-pub(crate) fn query_value(query: Option<&str>, name: &str) -> Option<String> {
+pub fn query_value(query: Option<&str>, name: &str) -> Option<String> {
     let pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
     let mut values = pairs.filter(|(key, _)| *key == name).map(|(_, value)| percent_decode(value));
     values.next()
 }
 
 /// Decodes `%XX`; what is no such code stays as it is.
-pub(crate) fn percent_decode(text: &str) -> String {
+pub fn percent_decode(text: &str) -> String {
     let mut bytes = Vec::with_capacity(text.len());
     let mut rest = text.as_bytes();
     while let Some((&first, tail)) = rest.split_first() {
@@ -111,7 +114,7 @@
 }
 
 /// Answers for an outage: `None` when the service works.
-pub(crate) async fn outage_reply(outage: Outage) -> Option<Reply> {
+pub async fn outage_reply(outage: Outage) -> Option<Reply> {
     match outage {
         Outage::None => None,
         Outage::Unavailable => Some(text(StatusCode::SERVICE_UNAVAILABLE, "out of service\n")),
@@ -121,14 +124,14 @@
 }
 
 /// Waits out a fault of slowness.
-pub(crate) async fn delay_ms(duration_ms: u64) {
+pub async fn delay_ms(duration_ms: u64) {
     if duration_ms > 0 {
         tokio::time::sleep(Duration::from_millis(duration_ms)).await;
     }
 }
 
 /// What a request of the control paths asks for.
-pub(crate) enum Control<F> {
+pub enum Control<F> {
     /// It is no control request.
     None(Request<Incoming>),
     /// It is answered.
@@ -138,7 +141,7 @@
 }
 
 /// Serves the control paths, which work whatever the faults are.
-pub(crate) async fn control<F>(
+pub async fn control<F>(
     request: Request<Incoming>,
     switches: &Switches<F>,
     counters: &impl Serialize,
--- /dev/null
+++ b/tests/platform_calls.rs
@@ -0,0 +1,163 @@
+//! Calls on the users' platform, through node processes and the platform's stand-in.
+
+use fl_adapter_standin::caller::{Caller, request};
+use fl_adapter_standin::{World, WorldOptions};
+use http::{Method, StatusCode};
+use rstest::rstest;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+
+async fn world() -> World {
+    World::start(WorldOptions::new(env!("CARGO_BIN_EXE_filbertlead"))).await
+}
+
+/// All runs of a call at the plain servers and the model servers.
+fn runs(world: &World, id: &str) -> Vec<fl_adapter_standin::server::Run> {
+    let servers = world.plain.iter().chain(&world.model);
+    servers.flat_map(|server| server.runs()).filter(|run| run.id == id).collect()
+}
+
+#[rstest]
+#[case::look_up(Method::GET, "/look/stock?size=42", "answer to look_up")]
+#[case::booking(Method::POST, "/book/room", "answer to booking")]
+#[case::resumable(Method::POST, "/plan/night", "data: resumable 6")]
+#[case::question(Method::POST, "/ask/size", "data: question 6")]
+#[tokio::test]
+async fn served(#[case] method: Method, #[case] path: &str, #[case] expected: &str) {
+    let world = world().await;
+    let id = expected.split_whitespace().find(|word| !["answer", "to", "data:"].contains(word));
+    let id = id.unwrap_or_default().to_string();
+    let answer = world.call(0, method, path, &id, &[]).await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(answer.is_whole && answer.text().contains(expected), "{}", answer.text());
+    assert!(answer.header("x-response-signature").starts_with("by-"));
+    assert_eq!(runs(&world, &id).len(), 1);
+}
+
+#[tokio::test]
+async fn headers_set_by_system() {
+    let world = world().await;
+    let sent = [
+        ("x-tenant", "somebody-else"),
+        ("x-expected-instance", "another"),
+        ("x-cache-retention", "7"),
+        ("x-pin-ms", "1000"),
+        ("x-kv-backup", "10.0.0.1:80"),
+        ("kv-from", "10.0.0.1:80/x"),
+        ("connection", "x-private"),
+        ("x-private", "for the first hop"),
+        ("x-kept", "for the server"),
+    ];
+    let answer = world.call(0, Method::POST, "/book/room?a=b", "headers", &sent).await;
+    assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    let runs = runs(&world, "headers");
+    let run = &runs[0];
+    assert_eq!(run.header("x-tenant"), "desk");
+    assert_eq!(run.header("x-kept"), "for the server");
+    assert!(run.header("x-expected-instance").starts_with("plain-"));
+    for name in ["api-key", "x-cache-retention", "x-pin-ms", "x-kv-backup", "kv-from", "x-private"] {
+        assert_eq!(run.header(name), "", "{name} must not be passed on");
+    }
+    let left_ms: u64 = run.header("x-deadline-ms").parse().expect("a number");
+    assert!(left_ms <= 5000);
+    assert_eq!((run.path.as_str(), &run.body[..]), ("/book/room?a=b", &b"the body"[..]));
+}
+
+#[rstest]
+#[case::unknown_route("/nowhere/x", "key-of-desk", StatusCode::NOT_FOUND)]
+#[case::unknown_key("/book/x", "a-wrong-key", StatusCode::UNAUTHORIZED)]
+#[tokio::test]
+async fn refused(#[case] path: &str, #[case] key: &str, #[case] status: StatusCode) {
+    let world = world().await;
+    let mut caller = Caller::connect(world.nodes[0].callers()).await;
+    let answer = caller.send(request(Method::POST, path, "refused", key, &[])).await;
+    assert_eq!(answer.expect("an answer").status, status);
+    assert!(runs(&world, "refused").is_empty());
+    assert!(world.nodes[0].log().contains(r#""event":"call_refused","request_id":"refused""#));
+}
+
+#[tokio::test]
+async fn quota_over_nodes() {
+    let world = world().await;
+    world.declare_quota(2, &["key-of-desk"], 5.0);
+    fl_adapter_standin::world::until("the quota is in force", async || {
+        world.nodes.iter().all(|node| node.log().contains(r#""version":2"#))
+    })
+    .await;
+    let mut refused = 0;
+    for index in 0..60 {
+        let id = format!("quota-{index}");
+        let answer = world.call(index % 2, Method::GET, "/look/x", &id, &[]).await;
+        let answer = answer.expect("an answer");
+        if answer.status == StatusCode::TOO_MANY_REQUESTS {
+            refused += 1;
+            assert!(answer.header("retry-after").parse::<f64>().is_ok());
+            assert!(runs(&world, &id).is_empty());
+        }
+    }
+    assert!(refused > 20, "{refused} of 60 calls were refused");
+}
+
+/// Raw bytes that a hostile caller sends, and what the answer must begin with; nothing if the
+/// connection is closed without one.
+#[rstest]
+#[case::two_lengths(
+    "POST /book/x HTTP/1.1\r\nhost: desk.example\r\nx-attempt-id: hostile\r\napi-key: key-of-desk\r\n\
+     content-length: 3\r\ncontent-length: 30\r\n\r\nabc",
+    "HTTP/1.1 400"
+)]
+#[case::no_id("GET /look/x HTTP/1.1\r\nhost: desk.example\r\n\r\n", "HTTP/1.1 400")]
+#[case::no_host("GET /look/x HTTP/1.1\r\nx-attempt-id: hostile\r\n\r\n", "HTTP/1.1 400")]
+#[case::bad_parts(
+    "POST /ask/x HTTP/1.1\r\nhost: desk.example\r\nx-attempt-id: hostile\r\nx-model: m\r\n\
+     x-prompt-prefix: what\r\ncontent-length: 0\r\n\r\n",
+    "HTTP/1.1 400"
+)]
+#[case::large_body(
+    "POST /book/x HTTP/1.1\r\nhost: desk.example\r\nx-attempt-id: hostile\r\napi-key: key-of-desk\r\n\
+     content-length: 99999999\r\n\r\n",
+    "HTTP/1.1 413"
+)]
+#[case::no_http("what is this\r\n\r\n", "HTTP/1.1 400")]
+#[tokio::test]
+async fn hostile_bytes(#[case] bytes: &str, #[case] expected: &str) {
+    let world = world().await;
+    let mut stream = TcpStream::connect(world.nodes[0].callers()).await.expect("a connection");
+    stream.write_all(bytes.as_bytes()).await.expect("bytes sent");
+    let mut answer = vec![0; expected.len()];
+    stream.read_exact(&mut answer).await.expect("an answer");
+    assert_eq!(String::from_utf8_lossy(&answer), expected);
+    assert!(runs(&world, "hostile").is_empty());
+    let after = world.call(0, Method::GET, "/look/x", "after", &[]).await;
+    assert_eq!(after.expect("an answer").status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn smuggled_request_not_run() {
+    let world = world().await;
+    let mut stream = TcpStream::connect(world.nodes[0].callers()).await.expect("a connection");
+    let inner = "POST /book/x HTTP/1.1\r\nhost: desk.example\r\nx-attempt-id: smuggled\r\n\r\n";
+    let outer = format!(
+        "POST /book/x HTTP/1.1\r\nhost: desk.example\r\nx-attempt-id: outer\r\n\
+         api-key: key-of-desk\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{inner}",
+        inner.len()
+    );
+    stream.write_all(outer.as_bytes()).await.expect("bytes sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(runs(&world, "smuggled").is_empty());
+    assert_eq!(runs(&world, "outer")[0].body, inner.as_bytes());
+}
+
+#[tokio::test]
+async fn dripped_head_closed() {
+    let world = world().await;
+    let mut stream = TcpStream::connect(world.nodes[0].callers()).await.expect("a connection");
+    stream.write_all(b"GET /look/x HTTP/1.1\r\nhost:").await.expect("bytes sent");
+    let mut rest = Vec::new();
+    // The connection is closed once the time for a head is over, however it is told.
+    let _ = stream.read_to_end(&mut rest).await;
+    let text = String::from_utf8_lossy(&rest);
+    assert!(text.is_empty() || text.starts_with("HTTP/1.1 408"), "{text}");
+}
