Learn the reading rate from every long prompt with what stood before it

Cause: readings at idle servers were too few (one or two a node in ten seconds), so the rate stood near its first guess and the demand was taken for nearly twice what it was. A prompt's first token now counts with all tokens that the server had to read before it.

--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -60,6 +60,8 @@
     pub placement: Placement,
     /// Calls in flight there, as believed.
     pub in_flight: u32,
+    /// Prompt tokens that it had not read yet, as believed.
+    pub unread_tokens: u64,
 }
 
 /// This node's calls at one server.
@@ -106,8 +108,8 @@
     server: ServerName,
     unread_tokens: u64,
     is_urgent: bool,
-    /// Whether the server had nothing else to read, so that its pace can be learned.
-    is_alone: bool,
+    /// Tokens that the server had to read before, if that is known well enough to learn its pace.
+    tokens_ahead: Option<u64>,
 }
 
 impl Servers {
@@ -131,8 +133,8 @@
         let wish = Wish { call, is_urgent, own_zone };
         let placement = place(&wish, &candidates, state.rate, rand::random::<f64>)?;
         let candidate = candidates.get(placement.index)?;
-        let in_flight = candidate.pressure.in_flight;
-        Some(Chosen { entry: candidate.entry.clone(), placement, in_flight })
+        let ServerPressure { in_flight, unread_tokens, .. } = candidate.pressure;
+        Some(Chosen { entry: candidate.entry.clone(), placement, in_flight, unread_tokens })
     }
 
     /// Servers that may be used.
@@ -268,8 +270,9 @@
         let server = chosen.entry.name.clone();
         node.servers.with_known(&server, |known| known.own.begin(unread_tokens, is_urgent));
         node.servers.count_demand(&chosen.entry.service, unread_tokens);
-        let is_alone = chosen.in_flight == 0;
-        InFlight { node: node.clone(), server, unread_tokens, is_urgent, is_alone }
+        // What an engine reads before an urgent prompt depends on its own rules.
+        let tokens_ahead = (!is_urgent).then_some(chosen.unread_tokens);
+        InFlight { node: node.clone(), server, unread_tokens, is_urgent, tokens_ahead }
     }
 
     /// Takes word that the first token came: the prompt was read.
@@ -277,9 +280,9 @@
         let read = std::mem::take(&mut self.unread_tokens);
         let is_urgent = self.is_urgent;
         self.node.servers.with_known(&self.server, |known| known.own.read(read, is_urgent));
-        if self.is_alone {
+        if let Some(tokens_ahead) = self.tokens_ahead.take() {
             let first_token_ms = after.as_secs_f64() * 1000.0;
-            self.node.servers.state.lock().rate.observe(read, first_token_ms);
+            self.node.servers.state.lock().rate.observe(read + tokens_ahead, first_token_ms);
         }
     }
 }
--- a/crates/fl-routing/src/placement.rs
+++ b/crates/fl-routing/src/placement.rs
@@ -8,12 +8,10 @@
 
 /// Reading rate assumed before one was observed, in tokens a millisecond.
 const FIRST_READ_RATE: f64 = 50.0;
-/// Weight of a reading that was faster than believed.
-const FASTER_WEIGHT: f64 = 0.3;
-/// Weight of a reading that was slower than believed.
-const SLOWER_WEIGHT: f64 = 0.1;
+/// Readings over which the rate is averaged.
+const READINGS_AVERAGED: u32 = 20;
 /// Reads shorter than this say little about the rate, in tokens.
-const LEARNED_TOKENS: u64 = 2500;
+const LEARNED_TOKENS: u64 = 5000;
 /// What each running call adds to the first token of a new one, in milliseconds.
 const RUNNING_MS: f64 = 1.0;
 /// What a call to another data centre costs more, in milliseconds.
@@ -71,29 +69,29 @@
     pub read_tokens: u64,
 }
 
-/// The rate at which servers read prompts, as observed.
+/// The rate at which servers read prompts while they generate for others, as observed.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ReadRate {
     tokens_per_ms: f64,
+    readings: u32,
 }
 
 impl Default for ReadRate {
     fn default() -> Self {
-        ReadRate { tokens_per_ms: FIRST_READ_RATE }
+        ReadRate { tokens_per_ms: FIRST_READ_RATE, readings: 0 }
     }
 }
 
 impl ReadRate {
-    /// Takes how long an idle server took to read tokens.
-    ///
-    /// A server may have had work that this node did not know of, so a slow reading counts less.
+    /// Takes how long a server took for a prompt and for those that it had to read before.
     pub fn observe(&mut self, tokens: u64, first_token_ms: f64) {
         if tokens < LEARNED_TOKENS || first_token_ms <= 0.0 {
             return;
         }
         let seen = tokens as f64 / first_token_ms;
-        let memory = if seen > self.tokens_per_ms { FASTER_WEIGHT } else { SLOWER_WEIGHT };
-        self.tokens_per_ms += (seen - self.tokens_per_ms) * memory;
+        // The first readings count alike; later ones move the mean slowly.
+        self.readings = (self.readings + 1).min(READINGS_AVERAGED);
+        self.tokens_per_ms += (seen - self.tokens_per_ms) / f64::from(self.readings);
     }
 
     /// The rate.
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -1,5 +1,7 @@
 //! The platform's store in trouble: nodes keep what they know, and no key outlives its time.
 
+#![allow(clippy::expect_used)]
+
 use fl_adapter_standin::caller::{Caller, request};
 use fl_adapter_standin::world::{KEY, until};
 use fl_adapter_standin::{StoreFaults, World, WorldOptions};
