Give shared prompt parts a second home

Cause: what a busy home could not take went to whichever server was least loaded, and its shared parts were read there for one call. All nodes now agree on a second home too.

--- a/crates/fl-routing/src/placement.rs
+++ b/crates/fl-routing/src/placement.rs
@@ -20,6 +20,8 @@
 const SUSPECT_MS: f64 = 400.0;
 /// Part of the prompts of less urgent calls that is still read before an urgent one.
 const PASSED_SHARE: f64 = 0.3;
+/// Share of a shared part that its second home is expected to hold.
+const SECOND_HOME_SHARE: f64 = 0.5;
 /// Calls in flight beyond the slots cost this much each, in milliseconds.
 const QUEUED_MS: f64 = 50.0;
 
@@ -113,10 +115,10 @@
     mut spread: impl FnMut() -> f64,
 ) -> Option<Placement> {
     let shared = wish.call.and_then(ModelCall::shared_part);
-    let home = shared.and_then(|part| home(part.id, candidates));
+    let homes = shared.map_or(Homes::default(), |part| Homes::of(part.id, candidates));
     let mut best: Option<(f64, Placement)> = None;
     for (index, candidate) in candidates.iter().enumerate() {
-        let cached = if home == Some(index) { cached_tokens(wish.call) } else { 0 };
+        let cached = (cached_tokens(wish.call) as f64 * homes.held_share(index)) as u64;
         let read_tokens = wish.call.map_or(0, |call| call.prompt_tokens.saturating_sub(cached));
         let wait_ms = wait_ms(wish, candidate, read_tokens, rate);
         let far_ms = if candidate.entry.zone == wish.own_zone { 0.0 } else { FAR_MS };
@@ -128,13 +130,38 @@
     best.map(|(_, placement)| placement)
 }
 
-/// The home of a prompt part among the candidates.
-fn home(part: u64, candidates: &[Candidate]) -> Option<usize> {
-    let ranked = candidates
-        .iter()
-        .enumerate()
-        .map(|(index, candidate)| (rank(part, candidate.name_hash), index));
-    ranked.max().map(|(_, index)| index)
+/// Where a prompt part is expected to be held: its home, and the server that takes over what the
+/// home is too busy for.
+#[derive(Debug, Clone, Copy, Default)]
+struct Homes {
+    first: Option<usize>,
+    second: Option<usize>,
+}
+
+impl Homes {
+    fn of(part: u64, candidates: &[Candidate]) -> Self {
+        let mut best: [Option<(u64, usize)>; 2] = [None, None];
+        for (index, candidate) in candidates.iter().enumerate() {
+            let ranked = Some((rank(part, candidate.name_hash), index));
+            if ranked > best[0] {
+                best = [ranked, best[0]];
+            } else if ranked > best[1] {
+                best[1] = ranked;
+            }
+        }
+        let [first, second] = best.map(|ranked| ranked.map(|(_, index)| index));
+        Homes { first, second }
+    }
+
+    fn held_share(&self, index: usize) -> f64 {
+        if self.first == Some(index) {
+            1.0
+        } else if self.second == Some(index) {
+            SECOND_HOME_SHARE
+        } else {
+            0.0
+        }
+    }
 }
 
 /// Tokens of a call that its home is expected to hold: all parts but the call's own.
