--- a/crates/fl-ctl/src/commands.rs
+++ b/crates/fl-ctl/src/commands.rs
@@ -5,6 +5,7 @@
 
 pub mod check;
 pub mod experiment;
+pub mod explain;
 pub mod key;
 pub mod load;
 pub mod push;
@@ -23,6 +24,9 @@
     /// See [`experiment`].
     #[options(help = "put the results of load runs side by side")]
     Experiment(experiment::Arguments),
+    /// See [`explain`].
+    #[options(help = "show the life of one request out of the logs of all nodes")]
+    Explain(explain::Arguments),
     /// See [`key`].
     #[options(help = "make a fleet key or a workspace key with its hash")]
     Key(key::Arguments),
@@ -46,6 +50,7 @@
         match self {
             Command::Check(arguments) => check::run(&arguments),
             Command::Experiment(arguments) => experiment::run(&arguments).await,
+            Command::Explain(arguments) => explain::run(&arguments),
             Command::Key(arguments) => key::run(&arguments),
             Command::Load(arguments) => load::run(&arguments).await,
             Command::Push(arguments) => push::run(&arguments).await,
@@ -59,6 +64,7 @@
         match self {
             Command::Check(_) => check::EXAMPLES,
             Command::Experiment(_) => experiment::EXAMPLES,
+            Command::Explain(_) => explain::EXAMPLES,
             Command::Key(_) => key::EXAMPLES,
             Command::Load(_) => load::EXAMPLES,
             Command::Push(_) => push::EXAMPLES,
--- a/crates/fl-forward/src/admit.rs
+++ b/crates/fl-forward/src/admit.rs
@@ -13,9 +13,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long before a key may have lost its force this node stops honouring keys when it cannot
-/// read what is declared; covers the way of a request to this node.
-const REVOCATION_MARGIN: Duration = Duration::from_millis(300);
 /// The part of a quota's promised tolerance that admission uses; the rest covers what nodes that do
 /// not hear of each other take at the same time.
 const USED_TOLERANCE: f64 = 0.4;
@@ -181,8 +178,7 @@
     if route.anonymous || table.workspaces.is_empty() {
         return Ok(None);
     }
-    let limit = node.settings.bounds.revocation.saturating_sub(REVOCATION_MARGIN);
-    if node.declared.age().is_none_or(|age| age >= limit) {
+    if !node.trusts_keys() {
         let reason = "what is declared could not be read lately, so keys cannot be trusted";
         return Err(refusal(StatusCode::SERVICE_UNAVAILABLE, reason));
     }
--- a/crates/fl-forward/src/answer.rs
+++ b/crates/fl-forward/src/answer.rs
@@ -59,6 +59,7 @@
     cutter: EventCutter,
     first: Option<WholeEvent>,
     last_event_id: Option<u64>,
+    last_event_at: Instant,
     ended: bool,
 }
 
@@ -164,6 +165,7 @@
         ended: first.is_none(),
         first,
         last_event_id: call.head.last_event_id,
+        last_event_at: Instant::now(),
     };
     let mut headers = node.ports.codec.returned_headers(&parts.headers);
     // The rest may come from another server, whose part has another length.
@@ -238,6 +240,9 @@
         if event.id.is_some() {
             self.last_event_id = event.id;
         }
+        let pause = self.last_event_at.elapsed();
+        self.last_event_at = Instant::now();
+        metrics::histogram!("fl_between_events_seconds").record(pause);
         RelayStep::Event(event.bytes)
     }
 
--- a/crates/fl-forward/src/declared.rs
+++ b/crates/fl-forward/src/declared.rs
@@ -81,6 +81,7 @@
             }
             step = read(&node, revision) => step,
         };
+        node.count_store_call("operators' table", step.is_ok());
         match step {
             Ok(next) => {
                 revision = Some(next);
--- a/crates/fl-forward/src/door.rs
+++ b/crates/fl-forward/src/door.rs
@@ -199,6 +199,9 @@
         let mut response = Response::new(whole_body(Bytes::from_static(refusal.reason.as_bytes())));
         *response.status_mut() = status;
         *response.headers_mut() = self.node.ports.codec.refusal_headers(id, refusal);
+        if !self.node.is_ready() {
+            close_after(&mut response);
+        }
         drop(mark);
         response
     }
@@ -217,6 +220,7 @@
             outcome: "the caller left",
             _mark: mark,
         };
+        let closes = !ending.record.node.is_ready();
         let body = match body {
             AnswerBody::Whole(bytes) => {
                 ending.end("whole");
@@ -227,6 +231,9 @@
         let mut response = Response::new(body);
         *response.status_mut() = status;
         *response.headers_mut() = headers;
+        if closes {
+            close_after(&mut response);
+        }
         response
     }
 
@@ -280,6 +287,11 @@
     }
 }
 
+/// Lets the caller open its next connection, which the balancer gives to a node that is ready.
+fn close_after(response: &mut Response<ReplyBody>) {
+    response.headers_mut().insert(header::CONNECTION, header::HeaderValue::from_static("close"));
+}
+
 fn whole_body(bytes: Bytes) -> ReplyBody {
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
--- a/crates/fl-forward/src/drive.rs
+++ b/crates/fl-forward/src/drive.rs
@@ -254,7 +254,10 @@
     let kept = node.channels.take(address);
     let mut was_kept = kept.is_some();
     let mut channel = match kept {
-        Some(channel) => channel,
+        Some(channel) => {
+            metrics::counter!("fl_connections_reused_total").increment(1);
+            channel
+        }
         None => open(address).await?,
     };
     loop {
@@ -333,8 +336,13 @@
 pub fn may_send(node: &Arc<Node>, call: &Call, progress: &Progress) -> bool {
     let nodes = node.peers.nodes();
     let take = |window: &mut RepeatWindow| window.try_repeat(boot_time());
-    progress.sends < call.admitted.route.servers_max
-        && node.repeats.with(&call.admitted.service, nodes, take)
+    let service = &call.admitted.service;
+    let may_send =
+        progress.sends < call.admitted.route.servers_max && node.repeats.with(service, nodes, take);
+    if may_send {
+        metrics::counter!("fl_repeats_total").increment(1);
+    }
+    may_send
 }
 
 /// Logs a failure and remembers it of the server.
--- a/crates/fl-forward/src/duty.rs
+++ b/crates/fl-forward/src/duty.rs
@@ -98,7 +98,7 @@
         Ok(WriteOutcome::Written(revision)) => {
             let fencing = claim.row.fencing;
             let holder = &node.settings.vm;
-            node.log.write(&LeaseChanged { change: "acquired", holder, fencing });
+            lease_changed(node, "acquired", holder, fencing);
             View::Holding(lease.acquired(sent_at, claim, revision))
         }
         Ok(WriteOutcome::Conflict(row)) => {
@@ -161,21 +161,28 @@
     match lease.written(boot_time(), sent_at, &claim, found) {
         Renewal::Held(lease) => View::Holding(lease),
         Renewal::Lost(lease) => {
-            node.log.write(&LeaseChanged { change: "lost to a peer", holder: "", fencing: 0 });
+            lease_changed(node, "lost to a peer", "", 0);
             View::Watching(lease)
         }
     }
 }
 
+fn lease_changed(node: &Node, change: &'static str, holder: &str, fencing: u64) {
+    metrics::counter!("fl_lease_changes_total", "change" => change).increment(1);
+    node.log.write(&LeaseChanged { change, holder, fencing });
+}
+
 fn lost(node: &Node, lease: Lease<Held>, row: Option<(u64, LeaseRow)>) -> Lease<Observed> {
-    node.log.write(&LeaseChanged { change: "lapsed", holder: "", fencing: 0 });
+    lease_changed(node, "lapsed", "", 0);
     lease.into_observed(boot_time(), row)
 }
 
 async fn write(node: &Node, claim: &Claim) -> Result<WriteOutcome, PlatformError> {
     let value = serde_json::to_string(&claim.row)
         .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
-    node.ports.store.write(DUTY_TABLE, LEASE_KEY, &value, claim.revision).await
+    let written = node.ports.store.write(DUTY_TABLE, LEASE_KEY, &value, claim.revision).await;
+    node.count_store_call("lease", written.is_ok());
+    written
 }
 
 fn lease_row(row: &StoredRow) -> Option<(u64, LeaseRow)> {
--- a/crates/fl-forward/src/node.rs
+++ b/crates/fl-forward/src/node.rs
@@ -16,6 +16,10 @@
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
+/// How long before a key may have lost its force this node stops honouring keys when it cannot
+/// read what is declared; covers the way of a request to this node.
+const REVOCATION_MARGIN: Duration = Duration::from_millis(300);
+
 /// What a node meets the platform by.
 pub struct Ports {
     /// Translates calls.
@@ -86,14 +90,31 @@
         }
     }
 
+    /// Counts a call to the platform's store by what it is for and how it ended.
+    pub fn count_store_call(&self, purpose: &'static str, is_ok: bool) {
+        let result = if is_ok { "ok" } else { "failed" };
+        let labels = [("purpose", purpose), ("result", result)];
+        metrics::counter!("fl_store_calls_total", &labels).increment(1);
+    }
+
     /// Waits; none if the node ends meanwhile.
     pub async fn pause(&self, time: Duration) -> Option<()> {
         self.cancel.run_until_cancelled(tokio::time::sleep(time)).await
     }
 
-    /// Says whether the balancer may choose this node: it knows what is declared and its servers.
+    /// Says whether the balancer may choose this node: it knows what is declared and its servers,
+    /// and can still trust the keys that callers bring.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.declared.table().version > 0 && self.servers.read_at().is_some()
+        !self.is_leaving() && self.trusts_keys() && self.servers.read_at().is_some()
+    }
+
+    /// Says whether what is declared is fresh enough that a key which was taken away is not
+    /// honoured for longer than promised.
+    pub fn trusts_keys(&self) -> bool {
+        let table = self.declared.table();
+        let limit = self.settings.bounds.revocation.saturating_sub(REVOCATION_MARGIN);
+        let is_fresh = self.declared.age().is_some_and(|age| age < limit);
+        table.version > 0 && (table.workspaces.is_empty() || is_fresh)
     }
 
     /// Takes word that the node was told to stop.
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -325,7 +325,9 @@
 
 async fn read(node: &Node) -> Result<(), String> {
     let asked_at = boot_time();
-    let list = node.ports.store.servers().await.map_err(|error| error.to_string())?;
+    let list = node.ports.store.servers().await;
+    node.count_store_call("servers", list.is_ok());
+    let list = list.map_err(|error| error.to_string())?;
     let heartbeat = node.settings.server_heartbeat;
     let mut state = node.servers.state.lock();
     let changes = state.registered.take_list(list.entries, list.revision, asked_at, heartbeat);
--- a/crates/fl-timeline/src/time.rs
+++ b/crates/fl-timeline/src/time.rs
@@ -41,3 +41,31 @@
     let year = era * 400 + year_of_era + u64::from(month <= 2);
     (year, month, day)
 }
+
+/// Reads a time that [`utc_text`] printed.
+pub fn parse_utc_text(text: &str) -> Option<UnixMs> {
+    let (date, time) = text.strip_suffix('Z')?.split_once('T')?;
+    let [year, month, day] = numbers(date, '-')?;
+    let (time, rest_ms) = time.split_once('.')?;
+    let [hours, minutes, seconds] = numbers(time, ':')?;
+    let days = days_since_epoch(year, month, day)?;
+    let in_day_ms = hours * HOUR_MS + minutes * MINUTE_MS + seconds * SECOND_MS;
+    Some(days * DAY_MS + in_day_ms + rest_ms.parse::<u64>().ok()?)
+}
+
+fn numbers(text: &str, separator: char) -> Option<[u64; 3]> {
+    let parts: Option<Vec<u64>> = text.split(separator).map(|part| part.parse().ok()).collect();
+    parts?.try_into().ok()
+}
+
+/// Converts year, month and day of the Gregorian calendar to days since 1970-01-01.
+fn days_since_epoch(year: u64, month: u64, day: u64) -> Option<u64> {
+    const DAYS_TO_EPOCH: u64 = 719_468;
+    const DAYS_IN_ERA: u64 = 146_097;
+    let year = if month <= 2 { year.checked_sub(1)? } else { year };
+    let month_from_march = (month + 9) % 12;
+    let day_of_year = (153 * month_from_march + 2) / 5 + day.checked_sub(1)?;
+    let year_of_era = year % 400;
+    let day_of_era = year_of_era * 365 + year_of_era / 4 - year_of_era / 100 + day_of_year;
+    (year / 400 * DAYS_IN_ERA + day_of_era).checked_sub(DAYS_TO_EPOCH)
+}
