Split the large modules of forwarding

Attempts, budgets of repeats, the event relay, replies, reports, exchange, discovery and the registry's feed stand in files of their own now; nothing behaves differently.

--- /dev/null
+++ b/crates/fl-forward/src/attempt.rs
@@ -0,0 +1,187 @@
+//! One attempt at one backend server: choose it, send the call, read the head of its answer.
+
+use crate::admit::Admitted;
+use crate::channels::{Channel, SendError};
+use crate::drive::{Call, Progress, given_up, out_of_time};
+use crate::node::Node;
+use crate::servers::{Chosen, InFlight};
+use fl_kernel::forward::{AnswerHead, Refusal, SendOrder};
+use fl_protocol::forward::ServerName;
+use http::Response;
+use hyper::body::Incoming;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Less time than this is not worth sending a call for.
+const LEAST_TIME: Duration = Duration::from_millis(5);
+/// Targets of first tokens that part calls of one rank by urgency at a model engine.
+const TARGET_BANDS: [Duration; 2] = [Duration::from_millis(500), Duration::from_millis(2000)];
+/// The least urgent priority of model engines.
+const LEAST_ENGINE_PRIORITY: u8 = 9;
+
+/// How one attempt failed.
+#[derive(Debug)]
+pub struct Failure {
+    /// What happened.
+    pub what: &'static str,
+    /// Details.
+    pub error: String,
+    /// Whether the call arrived at the server.
+    pub arrived: bool,
+    /// Whether it may have run there.
+    pub may_have_run: bool,
+}
+
+/// A server's answer of which only the head was read.
+pub struct Attempt {
+    /// Where.
+    pub chosen: Chosen,
+    /// The connection.
+    pub channel: Channel,
+    /// The decoded head.
+    pub head: AnswerHead,
+    /// The answer.
+    pub response: Response<Incoming>,
+    /// Counts the call at the server.
+    pub in_flight: InFlight,
+    /// When it was sent.
+    pub sent_at: Instant,
+}
+
+/// Why an attempt brought no answer's head.
+pub enum Stop {
+    /// The call is given up.
+    Refused(Refusal),
+    /// A server failed it.
+    Failed(ServerName, Failure, Instant),
+}
+
+/// Sends a call to the best server and reads the head of the answer.
+pub async fn attempt(
+    node: &Arc<Node>,
+    call: &Arc<Call>,
+    progress: &mut Progress,
+    last_event_id: Option<u64>,
+) -> Result<Attempt, Stop> {
+    let time_left = call.admitted.deadline.saturating_duration_since(Instant::now());
+    if time_left < LEAST_TIME {
+        return Err(Stop::Refused(out_of_time(progress)));
+    }
+    let model = call.head.model.as_ref();
+    let is_urgent = is_urgent(&call.admitted);
+    let own_zone = &node.settings.zone;
+    let service = &call.admitted.service;
+    let chosen = node.servers.choose(service, model, is_urgent, own_zone, &progress.left_out);
+    let Some(chosen) = chosen else {
+        return Err(Stop::Refused(given_up(progress, "no backend server can take the call")));
+    };
+    let in_flight = InFlight::begin(node, &chosen, is_urgent);
+    let sent_at = Instant::now();
+    let sending = send(node, call, &chosen, last_event_id);
+    let sent = match tokio::time::timeout_at(call.admitted.deadline, sending).await {
+        Ok(sent) => sent,
+        Err(_) => {
+            progress.sends += 1;
+            progress.may_have_run = true;
+            return Err(Stop::Refused(out_of_time(progress)));
+        }
+    };
+    let server = chosen.entry.name.clone();
+    match sent {
+        Ok((channel, head, response)) => {
+            progress.sends += 1;
+            if !head.is_of_call {
+                let failure = Failure {
+                    what: "the answer belongs to another call",
+                    error: String::new(),
+                    arrived: true,
+                    may_have_run: true,
+                };
+                return Err(Stop::Failed(server, failure, sent_at));
+            }
+            if head.not_run {
+                let failure = Failure {
+                    what: "the server did not run it",
+                    error: head.status.to_string(),
+                    arrived: true,
+                    may_have_run: false,
+                };
+                return Err(Stop::Failed(server, failure, sent_at));
+            }
+            Ok(Attempt { chosen, channel, head, response, in_flight, sent_at })
+        }
+        Err(error) => {
+            let arrived = matches!(error, SendError::Broken(_));
+            progress.sends += u32::from(arrived);
+            let what = if arrived { "the connection broke" } else { "the server was not reached" };
+            let failure =
+                Failure { what, error: error.to_string(), arrived, may_have_run: arrived };
+            Err(Stop::Failed(server, failure, sent_at))
+        }
+    }
+}
+
+async fn send(
+    node: &Node,
+    call: &Call,
+    chosen: &Chosen,
+    last_event_id: Option<u64>,
+) -> Result<(Channel, AnswerHead, Response<Incoming>), SendError> {
+    let address = chosen.entry.address;
+    let kept = node.channels.take(address);
+    let mut was_kept = kept.is_some();
+    let mut channel = match kept {
+        Some(channel) => {
+            metrics::counter!("fl_connections_reused_total").increment(1);
+            channel
+        }
+        None => open(address).await?,
+    };
+    loop {
+        let order = SendOrder {
+            server: chosen.entry.name.clone(),
+            time_left: call.admitted.deadline.saturating_duration_since(Instant::now()),
+            workspace: call.admitted.workspace.clone(),
+            last_event_id,
+            engine_priority: call.head.model.as_ref().map(|_| engine_priority(&call.admitted)),
+        };
+        let request =
+            node.ports.codec.server_request(&call.parts, &call.passed, call.body.clone(), &order);
+        let request = request.map_err(|error| SendError::NotSent(error.to_string()))?;
+        match channel.send(request).await {
+            Ok(response) => {
+                let (parts, body) = response.into_parts();
+                let head = node.ports.codec.read_answer(&call.head.id, &parts);
+                channel.set_keep_alive(head.keep_alive);
+                return Ok((channel, head, Response::from_parts(parts, body)));
+            }
+            // A kept connection that closed before a byte was written tells nothing of the server.
+            Err(SendError::NotSent(_)) if was_kept => {
+                was_kept = false;
+                channel = open(address).await?;
+            }
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+/// Whether a call belongs to the band whose first token is due soonest.
+fn is_urgent(admitted: &Admitted) -> bool {
+    admitted.route.target <= TARGET_BANDS[0]
+}
+
+/// Urgency at a model engine: the call's rank first, then how soon its first token is due.
+///
+/// A short question that waits behind the reading of a long prompt is late, but a long prompt hardly
+/// notices a short question.
+fn engine_priority(admitted: &Admitted) -> u8 {
+    let by_target = TARGET_BANDS.iter().filter(|band| admitted.route.target > **band).count() as u8;
+    let bands = TARGET_BANDS.len() as u8 + 1;
+    (admitted.priority.saturating_mul(bands) + by_target).min(LEAST_ENGINE_PRIORITY)
+}
+
+async fn open(address: std::net::SocketAddr) -> Result<Channel, SendError> {
+    metrics::counter!("fl_connections_opened_total").increment(1);
+    Channel::open(address).await
+}
--- a/crates/fl-forward/src/lib.rs
+++ b/crates/fl-forward/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admit;
 pub mod answer;
+pub mod attempt;
 pub mod channels;
 pub mod clock;
 pub mod declared;
@@ -19,6 +20,7 @@
 pub mod metrics_page;
 pub mod node;
 pub mod peers;
+pub mod repeats;
 pub mod run;
 pub mod servers;
 pub mod usage;
--- a/crates/fl-forward/src/peers.rs
+++ b/crates/fl-forward/src/peers.rs
@@ -4,27 +4,28 @@
 //! number. A lost datagram is made good by the next. Nodes find each other through rows in the
 //! platform's store; a node that a datagram came from is known as well.
 
-use crate::admit::WorkspaceReport;
+mod discovery;
+mod exchange;
+mod report;
+
+pub use discovery::discover;
+pub use exchange::{hear, tell};
+pub use report::Report;
+
+use report::{added, life};
+
 use crate::clock::boot_time;
-use crate::log::event::{DependencyLost, PeerChanged, ZoneChanged};
-use crate::node::Node;
 use crate::servers::OwnLoad;
 use crate::usage::{WindowCounts, add};
 use fl_kernel::clock::unix_ms;
-use fl_kernel::forward::{ForwardSettings, StoreRevision, WriteOutcome};
-use fl_limits::QuotaReport;
-use fl_protocol::{DataCenterName, ServiceName, VmName, WorkspaceName, hash64};
-use fl_routing::cut_off::{Heard, cut_off_zones};
+use fl_kernel::forward::ForwardSettings;
+use fl_protocol::{ServiceName, VmName};
+use fl_routing::cut_off::Heard;
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-/// The table in which nodes register their address.
-const NODE_TABLE: &str = "nodes";
 /// Time between two reports to one peer in a small fleet. Calls are placed by what peers told of
 /// their own, so this is the age of most of what a placement rests on.
 const REPORT_INTERVAL: Duration = Duration::from_millis(60);
@@ -42,39 +43,6 @@
 const REMEMBERED: Duration = Duration::from_secs(30);
 /// Earlier lives of a peer whose counts are kept.
 const LIVES_KEPT: usize = 3;
-/// Largest datagram that is read.
-const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
-/// Pause after a call to the store that brought nothing.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
-/// Time between two looks at the list of nodes, to find those whose datagrams never came.
-const DISCOVERY_INTERVAL: Duration = Duration::from_secs(15);
-
-/// What a node tells its peers.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Report {
-    /// Who says it.
-    pub vm: VmName,
-    /// Its data centre.
-    pub zone: DataCenterName,
-    /// When its process started, which tells its lives apart.
-    pub started_ms: u64,
-    /// Grows with each report of one life.
-    pub sequence: u64,
-    /// The declared version in force there.
-    pub table_version: u64,
-    /// Whether it admits calls.
-    pub admits: bool,
-    /// The fencing number of the duties' lease, if it holds it.
-    pub duty_fencing: Option<u64>,
-    /// Calls at servers.
-    pub loads: Vec<OwnLoad>,
-    /// Quotas: workspace, units taken, level, whether the level is a guess.
-    pub quotas: Vec<(WorkspaceName, f64, f64, bool)>,
-    /// Prompt tokens sent to be read since its process started, by service.
-    pub demand: Vec<(ServiceName, u64)>,
-    /// Calls that began to run, by window.
-    pub usage: Vec<WindowCounts>,
-}
 
 /// A peer as this node knows it.
 #[derive(Debug, Clone)]
@@ -279,149 +247,3 @@
         self.heard_at.is_some() && self.report.admits && self.silence(now) < HOLDS_SHARE
     }
 }
-
-/// Tells the peers what this node knows, until it ends.
-pub async fn tell(node: Arc<Node>, socket: Arc<UdpSocket>) {
-    loop {
-        for (peer, silence) in node.peers.review() {
-            let silent_ms = silence.as_millis() as u64;
-            node.log.write(&PeerChanged { peer: &peer, change: "silent", silent_ms });
-        }
-        node.servers.set_peers_load(&node.peers.loads());
-        note_cut_off_zones(&node);
-        let admitting = node.peers.admitting();
-        node.quotas.forget(|peer| admitting.contains(&peer));
-        let report = own_report(&node);
-        if let Ok(bytes) = postcard::to_stdvec(&report) {
-            for address in node.peers.addresses() {
-                // A datagram that cannot be sent is made good by the next one.
-                let _ = socket.try_send_to(&bytes, address);
-            }
-        }
-        if node.pause(node.peers.urgent_interval()).await.is_none() {
-            return;
-        }
-        let usual = node.peers.interval().saturating_sub(node.peers.urgent_interval());
-        tokio::select! {
-            () = node.cancel.cancelled() => return,
-            () = tokio::time::sleep(usual) => {}
-            () = node.peers.has_news.notified() => {}
-        }
-    }
-}
-
-fn note_cut_off_zones(node: &Node) {
-    let zones = cut_off_zones(&node.peers.heard(), &node.settings.zone, node.peers.interval());
-    for (zone, change) in node.servers.set_cut_off_zones(zones) {
-        node.log.write(&ZoneChanged { data_centre: &zone, change });
-    }
-}
-
-fn own_report(node: &Node) -> Report {
-    let mut state = node.peers.state.lock();
-    state.sequence += 1;
-    let (sequence, started_ms) = (state.sequence, state.started_ms);
-    drop(state);
-    let quotas = node.quotas.reports().into_iter();
-    Report {
-        vm: node.settings.vm.clone(),
-        zone: node.settings.zone.clone(),
-        started_ms,
-        sequence,
-        table_version: node.declared.table().version,
-        admits: !node.is_leaving(),
-        duty_fencing: node.duty.fencing(),
-        loads: node.servers.own_load(),
-        quotas: quotas.map(quota_entry).collect(),
-        demand: node.servers.demands(),
-        usage: node.usage.all(),
-    }
-}
-
-/// What grew between two reports of one life, by service.
-fn added(before: &[(ServiceName, u64)], after: &[(ServiceName, u64)]) -> Vec<(ServiceName, u64)> {
-    let more = after.iter().map(|(service, tokens)| {
-        let place = before.binary_search_by(|(name, _)| name.cmp(service));
-        let earlier = place.map_or(0, |place| before[place].1);
-        (service.clone(), tokens.saturating_sub(earlier))
-    });
-    more.collect()
-}
-
-fn quota_entry(own: WorkspaceReport) -> (WorkspaceName, f64, f64, bool) {
-    (own.workspace, own.report.taken, own.report.level, own.report.is_guess)
-}
-
-/// Names one life of a node's process.
-fn life(report: &Report) -> u64 {
-    hash64(&[report.vm.as_bytes(), &report.started_ms.to_be_bytes()])
-}
-
-/// Hears the peers until the node ends.
-pub async fn hear(node: Arc<Node>, socket: Arc<UdpSocket>) {
-    let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
-    while let Some(received) = node.cancel.run_until_cancelled(socket.recv_from(&mut buffer)).await
-    {
-        let Ok((size, from)) = received else { continue };
-        let Ok(report) = postcard::from_bytes::<Report>(&buffer[..size]) else {
-            metrics::counter!("fl_peer_reports_unreadable_total").increment(1);
-            continue;
-        };
-        node.declared.hear_of(report.table_version);
-        let vm = report.vm.clone();
-        let told =
-            report.quotas.iter().map(|(workspace, taken, level, is_guess)| WorkspaceReport {
-                workspace: workspace.clone(),
-                report: QuotaReport { taken: *taken, level: *level, is_guess: *is_guess },
-            });
-        node.quotas.hear(life(&report), &told.collect::<Vec<_>>());
-        if let Some(silence) = node.peers.take(from, report) {
-            let silent_ms = silence.as_millis() as u64;
-            node.log.write(&PeerChanged { peer: &vm, change: "heard", silent_ms });
-        }
-    }
-}
-
-/// Registers this node in the store and finds the others there.
-pub async fn discover(node: Arc<Node>) {
-    let mut revision: Option<StoreRevision> = None;
-    let mut has_failed = false;
-    loop {
-        let pause = match meet(&node, &mut revision).await {
-            Ok(()) => {
-                has_failed = false;
-                DISCOVERY_INTERVAL
-            }
-            Err(error) => {
-                if !has_failed {
-                    node.log.write(&DependencyLost { dependency: "list of nodes", error });
-                }
-                has_failed = true;
-                RETRY_PAUSE
-            }
-        };
-        if node.pause(pause).await.is_none() {
-            return;
-        }
-    }
-}
-
-async fn meet(node: &Node, revision: &mut Option<StoreRevision>) -> Result<(), String> {
-    let store = &node.ports.store;
-    let vm = &node.settings.vm;
-    if revision.is_none() {
-        let address = node.settings.peers.to_string();
-        let known = store.row(NODE_TABLE, vm).await.map_err(|error| error.to_string())?;
-        let expected = known.map_or(0, |row| row.revision);
-        let written = store.write(NODE_TABLE, vm, &address, expected).await;
-        match written.map_err(|error| error.to_string())? {
-            WriteOutcome::Written(written) => *revision = Some(written),
-            WriteOutcome::Conflict(_) => return Err("another process registers here".to_string()),
-        }
-    }
-    let rows = store.rows(NODE_TABLE).await.map_err(|error| error.to_string())?;
-    for address in rows.iter().filter_map(|row| row.value.parse().ok()) {
-        node.peers.know(address);
-    }
-    Ok(())
-}
--- /dev/null
+++ b/crates/fl-forward/src/peers/exchange.rs
@@ -0,0 +1,75 @@
+//! Tells the peers and hears them.
+
+use super::report::{Report, life, own_report};
+use crate::admit::WorkspaceReport;
+use crate::log::event::{PeerChanged, ZoneChanged};
+use crate::node::Node;
+use fl_limits::QuotaReport;
+use fl_routing::cut_off::cut_off_zones;
+use std::sync::Arc;
+use tokio::net::UdpSocket;
+
+/// Largest datagram that is read.
+const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
+
+/// Tells the peers what this node knows, until it ends.
+pub async fn tell(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    loop {
+        for (peer, silence) in node.peers.review() {
+            let silent_ms = silence.as_millis() as u64;
+            node.log.write(&PeerChanged { peer: &peer, change: "silent", silent_ms });
+        }
+        node.servers.set_peers_load(&node.peers.loads());
+        note_cut_off_zones(&node);
+        let admitting = node.peers.admitting();
+        node.quotas.forget(|peer| admitting.contains(&peer));
+        let report = own_report(&node);
+        if let Ok(bytes) = postcard::to_stdvec(&report) {
+            for address in node.peers.addresses() {
+                // A datagram that cannot be sent is made good by the next one.
+                let _ = socket.try_send_to(&bytes, address);
+            }
+        }
+        if node.pause(node.peers.urgent_interval()).await.is_none() {
+            return;
+        }
+        let usual = node.peers.interval().saturating_sub(node.peers.urgent_interval());
+        tokio::select! {
+            () = node.cancel.cancelled() => return,
+            () = tokio::time::sleep(usual) => {}
+            () = node.peers.has_news.notified() => {}
+        }
+    }
+}
+
+fn note_cut_off_zones(node: &Node) {
+    let zones = cut_off_zones(&node.peers.heard(), &node.settings.zone, node.peers.interval());
+    for (zone, change) in node.servers.set_cut_off_zones(zones) {
+        node.log.write(&ZoneChanged { data_centre: &zone, change });
+    }
+}
+
+/// Hears the peers until the node ends.
+pub async fn hear(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
+    while let Some(received) = node.cancel.run_until_cancelled(socket.recv_from(&mut buffer)).await
+    {
+        let Ok((size, from)) = received else { continue };
+        let Ok(report) = postcard::from_bytes::<Report>(&buffer[..size]) else {
+            metrics::counter!("fl_peer_reports_unreadable_total").increment(1);
+            continue;
+        };
+        node.declared.hear_of(report.table_version);
+        let vm = report.vm.clone();
+        let told =
+            report.quotas.iter().map(|(workspace, taken, level, is_guess)| WorkspaceReport {
+                workspace: workspace.clone(),
+                report: QuotaReport { taken: *taken, level: *level, is_guess: *is_guess },
+            });
+        node.quotas.hear(life(&report), &told.collect::<Vec<_>>());
+        if let Some(silence) = node.peers.take(from, report) {
+            let silent_ms = silence.as_millis() as u64;
+            node.log.write(&PeerChanged { peer: &vm, change: "heard", silent_ms });
+        }
+    }
+}
--- /dev/null
+++ b/crates/fl-forward/src/peers/report.rs
@@ -0,0 +1,79 @@
+//! What nodes tell each other.
+
+use crate::admit::WorkspaceReport;
+use crate::node::Node;
+use crate::servers::OwnLoad;
+use crate::usage::WindowCounts;
+use fl_protocol::{DataCenterName, ServiceName, VmName, WorkspaceName, hash64};
+use serde::{Deserialize, Serialize};
+
+/// What a node tells its peers.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Who says it.
+    pub vm: VmName,
+    /// Its data centre.
+    pub zone: DataCenterName,
+    /// When its process started, which tells its lives apart.
+    pub started_ms: u64,
+    /// Grows with each report of one life.
+    pub sequence: u64,
+    /// The declared version in force there.
+    pub table_version: u64,
+    /// Whether it admits calls.
+    pub admits: bool,
+    /// The fencing number of the duties' lease, if it holds it.
+    pub duty_fencing: Option<u64>,
+    /// Calls at servers.
+    pub loads: Vec<OwnLoad>,
+    /// Quotas: workspace, units taken, level, whether the level is a guess.
+    pub quotas: Vec<(WorkspaceName, f64, f64, bool)>,
+    /// Prompt tokens sent to be read since its process started, by service.
+    pub demand: Vec<(ServiceName, u64)>,
+    /// Calls that began to run, by window.
+    pub usage: Vec<WindowCounts>,
+}
+
+/// What this node tells now.
+pub fn own_report(node: &Node) -> Report {
+    let mut state = node.peers.state.lock();
+    state.sequence += 1;
+    let (sequence, started_ms) = (state.sequence, state.started_ms);
+    drop(state);
+    let quotas = node.quotas.reports().into_iter();
+    Report {
+        vm: node.settings.vm.clone(),
+        zone: node.settings.zone.clone(),
+        started_ms,
+        sequence,
+        table_version: node.declared.table().version,
+        admits: !node.is_leaving(),
+        duty_fencing: node.duty.fencing(),
+        loads: node.servers.own_load(),
+        quotas: quotas.map(quota_entry).collect(),
+        demand: node.servers.demands(),
+        usage: node.usage.all(),
+    }
+}
+
+/// What grew between two reports of one life, by service.
+pub fn added(
+    before: &[(ServiceName, u64)],
+    after: &[(ServiceName, u64)],
+) -> Vec<(ServiceName, u64)> {
+    let more = after.iter().map(|(service, tokens)| {
+        let place = before.binary_search_by(|(name, _)| name.cmp(service));
+        let earlier = place.map_or(0, |place| before[place].1);
+        (service.clone(), tokens.saturating_sub(earlier))
+    });
+    more.collect()
+}
+
+fn quota_entry(own: WorkspaceReport) -> (WorkspaceName, f64, f64, bool) {
+    (own.workspace, own.report.taken, own.report.level, own.report.is_guess)
+}
+
+/// Names one life of a node's process.
+pub fn life(report: &Report) -> u64 {
+    hash64(&[report.vm.as_bytes(), &report.started_ms.to_be_bytes()])
+}
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -1,23 +1,20 @@
 //! Backend servers as this node believes them: who is registered, how loaded, how trustworthy.
 
+mod feed;
+mod load;
+
+pub use feed::follow;
+pub use load::{InFlight, OwnLoad};
+
 use crate::clock::boot_time;
-use crate::log::event::{DependencyLost, DependencyRegained, ServerChanged, ServerEntryUnreadable};
-use crate::node::Node;
 use fl_protocol::forward::{ModelCall, ServerEntry, ServerName};
 use fl_protocol::{DataCenterName, ServiceName};
 use fl_routing::placement::{Candidate, Placement, ReadRate, ServerPressure, Wish, place};
-use fl_routing::registered::{RegisteredServers, RegistryChange};
+use fl_routing::registered::RegisteredServers;
 use fl_routing::rendezvous::name_hash;
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
-use std::sync::Arc;
 use std::time::Duration;
 
-/// Time between two reads of the registry. With the time an answer takes it stays well below the
-/// shortest time in which a leaving server has to be known.
-const READ_INTERVAL: Duration = Duration::from_millis(900);
-/// Pause after a read that brought nothing.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// What one failure adds to a server's suspicion.
 const FAILURE_SUSPICION: f64 = 0.35;
 /// Suspicion of a server whose data centre seems cut off; it is used when the others are full.
@@ -68,54 +65,6 @@
     pub unread_tokens: u64,
 }
 
-/// This node's calls at one server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OwnLoad {
-    /// The hash of the server's name.
-    pub server: u64,
-    /// Calls in flight.
-    pub in_flight: u32,
-    /// Prompt tokens of them that the server has not read.
-    pub unread_tokens: u64,
-    /// Those of urgent calls among them.
-    pub urgent_unread_tokens: u64,
-}
-
-impl OwnLoad {
-    fn none(server: u64) -> Self {
-        OwnLoad { server, in_flight: 0, unread_tokens: 0, urgent_unread_tokens: 0 }
-    }
-
-    fn begin(&mut self, unread_tokens: u64, is_urgent: bool) {
-        self.in_flight += 1;
-        self.unread_tokens += unread_tokens;
-        self.urgent_unread_tokens += if is_urgent { unread_tokens } else { 0 };
-    }
-
-    fn read(&mut self, tokens: u64, is_urgent: bool) {
-        self.unread_tokens = self.unread_tokens.saturating_sub(tokens);
-        let urgent = if is_urgent { tokens } else { 0 };
-        self.urgent_unread_tokens = self.urgent_unread_tokens.saturating_sub(urgent);
-    }
-
-    /// Adds another node's calls at the same server.
-    pub fn add(&mut self, other: &OwnLoad) {
-        self.in_flight += other.in_flight;
-        self.unread_tokens += other.unread_tokens;
-        self.urgent_unread_tokens += other.urgent_unread_tokens;
-    }
-}
-
-/// Counts a call at a server until it ends.
-pub struct InFlight {
-    node: Arc<Node>,
-    server: ServerName,
-    unread_tokens: u64,
-    is_urgent: bool,
-    /// Tokens that the server had to read before, if that is known well enough to learn its pace.
-    tokens_ahead: Option<u64>,
-}
-
 impl Servers {
     /// Chooses a server of a service, leaving out some.
     pub fn choose(
@@ -283,97 +232,3 @@
         self.suspicion * 0.5_f64.powf(age / SUSPICION_HALF_LIFE.as_secs_f64())
     }
 }
-
-impl InFlight {
-    /// Counts a call at a chosen server.
-    pub fn begin(node: &Arc<Node>, chosen: &Chosen, is_urgent: bool) -> Self {
-        let unread_tokens = chosen.placement.read_tokens;
-        let server = chosen.entry.name.clone();
-        node.servers.with_known(&server, |known| known.own.begin(unread_tokens, is_urgent));
-        node.servers.count_demand(&chosen.entry.service, unread_tokens);
-        // What an engine reads before an urgent prompt depends on its own rules.
-        let tokens_ahead = (!is_urgent).then_some(chosen.unread_tokens);
-        InFlight { node: node.clone(), server, unread_tokens, is_urgent, tokens_ahead }
-    }
-
-    /// Takes word that the first token came: the prompt was read.
-    pub fn first_token(&mut self, after: Duration) {
-        let read = std::mem::take(&mut self.unread_tokens);
-        let is_urgent = self.is_urgent;
-        self.node.servers.with_known(&self.server, |known| known.own.read(read, is_urgent));
-        if let Some(tokens_ahead) = self.tokens_ahead.take() {
-            let first_token_ms = after.as_secs_f64() * 1000.0;
-            self.node.servers.state.lock().rate.observe(read + tokens_ahead, first_token_ms);
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        let (unread_tokens, is_urgent) = (self.unread_tokens, self.is_urgent);
-        self.node.servers.with_known(&self.server, |known| {
-            known.own.in_flight = known.own.in_flight.saturating_sub(1);
-            known.own.read(unread_tokens, is_urgent);
-        });
-    }
-}
-
-/// Follows the registry until the node ends.
-pub async fn follow(node: Arc<Node>) {
-    let mut lost_at: Option<Duration> = None;
-    loop {
-        let pause = match read(&node).await {
-            Ok(()) => {
-                if let Some(since) = lost_at.take() {
-                    let away_ms = (boot_time() - since).as_millis() as u64;
-                    node.log.write(&DependencyRegained { dependency: "server registry", away_ms });
-                }
-                READ_INTERVAL
-            }
-            Err(error) => {
-                if lost_at.is_none() {
-                    lost_at = Some(boot_time());
-                    node.log.write(&DependencyLost { dependency: "server registry", error });
-                }
-                RETRY_PAUSE
-            }
-        };
-        if node.pause(pause).await.is_none() {
-            return;
-        }
-    }
-}
-
-async fn read(node: &Node) -> Result<(), String> {
-    let asked_at = boot_time();
-    let list = node.ports.store.servers().await;
-    node.count_store_call("servers", list.is_ok());
-    let list = list.map_err(|error| error.to_string())?;
-    let heartbeat = node.settings.server_heartbeat;
-    let mut state = node.servers.state.lock();
-    let changes = state.registered.take_list(list.entries, list.revision, asked_at, heartbeat);
-    state.know_listed();
-    log_faults(node, &mut state.faults, &list.faults);
-    drop(state);
-    for change in &changes {
-        let (server, change) = match change {
-            RegistryChange::Joined(server) => (server, "joined"),
-            RegistryChange::Draining(server) => (server, "draining"),
-            RegistryChange::Gone(server) => (server, "gone"),
-        };
-        node.log.write(&ServerChanged { server, change, revision: list.revision });
-    }
-    let usable = node.servers.usable();
-    node.channels.sweep(|address| usable.iter().any(|entry| entry.address == address));
-    Ok(())
-}
-
-/// Logs each unreadable entry once.
-fn log_faults(node: &Node, known: &mut Vec<String>, faults: &[(String, String)]) {
-    for (server, fault) in faults {
-        if !known.contains(server) {
-            node.log.write(&ServerEntryUnreadable { server, fault });
-        }
-    }
-    *known = faults.iter().map(|(server, _)| server.clone()).collect();
-}
