Send a call on when another server has the address, and blame timeouts

Test address_used_again. Reclaimable servers are counted ample over all data centres together and for the least need without any one.

--- a/crates/fl-fleet/src/scaling.rs
+++ b/crates/fl-fleet/src/scaling.rs
@@ -47,7 +47,7 @@
 /// Plans the fleet of a service: ample reclaimable servers, and lasting ones for what is missing of
 /// the least.
 pub fn plan(facts: &ScalingFacts, zones: &[ZoneFleet], need: Need) -> Vec<ZoneOrder> {
-    let reclaimable = reclaimable_per_zone(facts, zones.len(), need.ample);
+    let reclaimable = reclaimable_per_zone(facts, zones.len(), need);
     if reclaimable == 0 {
         return lasting_only(facts, zones, need.ample);
     }
@@ -85,15 +85,15 @@
     }
 }
 
-/// Enough in each data centre that all but one of them carry the demand.
-fn reclaimable_per_zone(facts: &ScalingFacts, zones: usize, needed: f64) -> u32 {
+/// Ample in all data centres together, and the least need in all but one of them.
+fn reclaimable_per_zone(facts: &ScalingFacts, zones: usize, need: Need) -> u32 {
     let is_cheap = facts.reclaimable_price.is_some_and(|price| price <= RECLAIMABLE_PRICE_MAX);
     if !is_cheap || zones == 0 {
         return 0;
     }
-    let left = zones.saturating_sub(1).max(1) as f64;
-    let each = (needed / left).ceil() as u32;
-    each.clamp(facts.servers_min.max(1), facts.servers_max.max(1))
+    let left = zones.saturating_sub(1).max(1);
+    let each = (need.ample / zones as f64).max(need.least / left as f64);
+    (each.ceil() as u32).clamp(facts.servers_min.max(1), facts.servers_max.max(1))
 }
 
 /// Spreads lasting servers over the data centres, one after the other, the cheapest first.
--- a/crates/fl-fleet/tests/scaling.rs
+++ b/crates/fl-fleet/tests/scaling.rs
@@ -42,6 +42,13 @@
     assert!(orders.iter().all(|order| order.reclaimable == each), "{orders:?}");
 }
 
+#[test]
+fn ample_in_all_zones_together() {
+    let fleets: Vec<ZoneFleet> = (0..3).map(|zone| fleet(zone, 4, 0)).collect();
+    let orders = plan(&facts(3), &fleets, Need { ample: 15.0, least: 6.0 });
+    assert!(orders.iter().all(|order| order.reclaimable == 5), "{orders:?}");
+}
+
 #[test]
 fn lasting_stay_until_replaced() {
     let booting: Vec<ZoneFleet> = (0..3).map(|zone| fleet(zone, 4, 0)).collect();
--- a/crates/fl-forward/src/answer.rs
+++ b/crates/fl-forward/src/answer.rs
@@ -159,5 +159,11 @@
 }
 
 fn broken(what: &'static str, error: String) -> Opened {
-    Opened::Failed(Failure { what, error, arrived: true, may_have_run: true })
+    Opened::Failed(Failure {
+        what,
+        error,
+        arrived: true,
+        may_have_run: true,
+        is_misdirected: false,
+    })
 }
--- a/crates/fl-forward/src/answer/relay.rs
+++ b/crates/fl-forward/src/answer/relay.rs
@@ -128,8 +128,13 @@
 
     /// Goes on at another server, if the stream may.
     async fn resume(&mut self, error: String) -> bool {
-        let failure =
-            Failure { what: "the stream broke off", error, arrived: true, may_have_run: true };
+        let failure = Failure {
+            what: "the stream broke off",
+            error,
+            arrived: true,
+            may_have_run: true,
+            is_misdirected: false,
+        };
         loop {
             let server = self.source.server.clone();
             drive::note_failure(&self.node, &self.call, &server, &failure, Duration::ZERO);
--- a/crates/fl-forward/src/attempt.rs
+++ b/crates/fl-forward/src/attempt.rs
@@ -21,7 +21,7 @@
 const LEAST_ENGINE_PRIORITY: u8 = 9;
 
 /// How one attempt failed.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Failure {
     /// What happened.
     pub what: &'static str,
@@ -31,6 +31,8 @@
     pub arrived: bool,
     /// Whether it may have run there.
     pub may_have_run: bool,
+    /// Whether another server has the address now, so that the one that was meant got nothing.
+    pub is_misdirected: bool,
 }
 
 /// A server's answer of which only the head was read.
@@ -79,46 +81,53 @@
     let in_flight = InFlight::begin(node, &chosen, is_urgent);
     let sent_at = Instant::now();
     let sending = send(node, call, &chosen, last_event_id);
-    let sent = match tokio::time::timeout_at(call.admitted.deadline, sending).await {
-        Ok(sent) => sent,
-        Err(_) => {
-            progress.sends += 1;
-            progress.may_have_run = true;
-            return Err(Stop::Refused(out_of_time(progress)));
-        }
-    };
+    let sent = tokio::time::timeout_at(call.admitted.deadline, sending).await;
     let server = chosen.entry.name.clone();
-    match sent {
-        Ok((channel, head, response)) => {
-            progress.sends += 1;
-            if !head.is_of_call {
-                let failure = Failure {
-                    what: "the answer belongs to another call",
-                    error: String::new(),
-                    arrived: true,
-                    may_have_run: true,
-                };
-                return Err(Stop::Failed(server, failure, sent_at));
-            }
-            if head.not_run {
-                let failure = Failure {
-                    what: "the server did not run it",
-                    error: head.status.to_string(),
-                    arrived: true,
-                    may_have_run: false,
-                };
-                return Err(Stop::Failed(server, failure, sent_at));
+    let failed = match sent {
+        Ok(Ok((channel, head, response))) => match head_failure(&head) {
+            None => {
+                progress.sends += 1;
+                return Ok(Attempt { chosen, channel, head, response, in_flight, sent_at });
             }
-            Ok(Attempt { chosen, channel, head, response, in_flight, sent_at })
-        }
-        Err(error) => {
-            let arrived = matches!(error, SendError::Broken(_));
-            progress.sends += u32::from(arrived);
-            let what = if arrived { "the connection broke" } else { "the server was not reached" };
-            let failure =
-                Failure { what, error: error.to_string(), arrived, may_have_run: arrived };
-            Err(Stop::Failed(server, failure, sent_at))
-        }
+            Some(failure) => failure,
+        },
+        Ok(Err(error)) => send_failure(&error),
+        Err(_) => Failure {
+            what: "no answer in time",
+            arrived: true,
+            may_have_run: true,
+            ..Failure::default()
+        },
+    };
+    progress.sends += u32::from(failed.arrived && !failed.is_misdirected);
+    Err(Stop::Failed(server, failed, sent_at))
+}
+
+/// What is wrong with an answer of which only the head was read, if anything.
+fn head_failure(head: &AnswerHead) -> Option<Failure> {
+    let (what, may_have_run) = if !head.is_of_call {
+        ("the answer belongs to another call", true)
+    } else if head.is_misdirected {
+        ("another server is at its address", false)
+    } else if head.not_run {
+        ("the server did not run it", false)
+    } else {
+        return None;
+    };
+    let error = head.status.to_string();
+    let is_misdirected = head.is_of_call && head.is_misdirected;
+    Some(Failure { what, error, arrived: true, may_have_run, is_misdirected })
+}
+
+fn send_failure(error: &SendError) -> Failure {
+    let arrived = matches!(error, SendError::Broken(_));
+    let what = if arrived { "the connection broke" } else { "the server was not reached" };
+    Failure {
+        what,
+        error: error.to_string(),
+        arrived,
+        may_have_run: arrived,
+        is_misdirected: false,
     }
 }
 
--- a/crates/fl-forward/src/drive.rs
+++ b/crates/fl-forward/src/drive.rs
@@ -73,14 +73,13 @@
         };
         let server = attempt.chosen.entry.name.clone();
         let sent_at = attempt.sent_at;
-        let repeatable_failure = attempt.head.status.is_server_error()
-            && call.admitted.route.may_repeat()
-            && may_send(node, &call, &progress);
-        if repeatable_failure {
-            progress.may_have_run = true;
+        if attempt.head.status.is_server_error() {
             node.servers.failed(&server);
-            progress.left_out.push(server);
-            continue;
+            if call.admitted.route.may_repeat() && may_send(node, &call, &progress) {
+                progress.may_have_run = true;
+                progress.left_out.push(server);
+                continue;
+            }
         }
         let opened = match call.admitted.route.kind {
             CallKind::Stream if attempt.head.status.is_success() => {
@@ -121,6 +120,9 @@
     if may_repeat && may_send(node, call, progress) {
         return Ok(());
     }
+    if Instant::now() >= call.admitted.deadline {
+        return Err(out_of_time(progress));
+    }
     Err(given_up(progress, failure.what))
 }
 
@@ -139,7 +141,7 @@
 
 /// Logs a failure and remembers it of the server.
 pub fn note_failure(node: &Node, call: &Call, server: &str, failure: &Failure, after: Duration) {
-    if failure.may_have_run || !failure.arrived {
+    if failure.may_have_run || !failure.arrived || failure.is_misdirected {
         node.servers.failed(server);
     }
     metrics::counter!("fl_attempts_failed_total", "failure" => failure.what).increment(1);
--- a/crates/fl-kernel/src/forward.rs
+++ b/crates/fl-kernel/src/forward.rs
@@ -180,6 +180,8 @@
     pub is_of_call: bool,
     /// Whether the server says that it did not run the call.
     pub not_run: bool,
+    /// Whether another server than the one that was meant answered, which runs nothing.
+    pub is_misdirected: bool,
     /// Whether the server signed the answer.
     pub is_signed: bool,
     /// Its load.
--- a/tests/platform_faults.rs
+++ b/tests/platform_faults.rs
@@ -146,3 +146,18 @@
     })
     .await;
 }
+
+/// A server whose address another one has now is passed over, also by calls that may be sent once.
+#[tokio::test]
+async fn address_used_again() {
+    let world = world().await;
+    let stale = world.plain[0].entry("ready");
+    world.store.put("servers", "plain-gone", &stale);
+    until("the node knows", async || world.nodes[0].log().contains("plain-gone")).await;
+    for index in 0..10 {
+        let id = format!("book-{index}");
+        let answer = world.call(0, Method::POST, "/book/room", &id, &[]).await;
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+        assert_eq!(runs(&world, &id).len(), 1);
+    }
+}
