Keep no more idle connections than servers take from all nodes, and drop what nothing reads

A node kept up to 32 idle connections to each server, whatever the server takes from all nodes together: 6 nodes could hold 192 where 96 are declared, and 78 nodes far more. Each node keeps its part now. Fields that were decoded and never read are gone.

--- a/crates/fl-fleet/src/scaling.rs
+++ b/crates/fl-fleet/src/scaling.rs
@@ -20,8 +20,6 @@
     pub lasting: u32,
     /// Reclaimable servers that take calls.
     pub reclaimable: u32,
-    /// Whether reclaimable servers were refused there lately.
-    pub is_dry: bool,
 }
 
 /// What a data centre shall have of a service.
--- a/crates/fl-fleet/tests/scaling.rs
+++ b/crates/fl-fleet/tests/scaling.rs
@@ -17,7 +17,7 @@
 }
 
 fn fleet(zone: usize, lasting: u32, reclaimable: u32) -> ZoneFleet {
-    ZoneFleet { zone: format!("zone-{zone}"), lasting, reclaimable, is_dry: false }
+    ZoneFleet { zone: format!("zone-{zone}"), lasting, reclaimable }
 }
 
 fn same(needed: f64) -> Need {
--- a/crates/fl-forward/src/answer.rs
+++ b/crates/fl-forward/src/answer.rs
@@ -72,8 +72,8 @@
         return broken("the answer is not signed", String::new());
     }
     let channel = attempt.channel;
-    let keeper = node.clone();
-    tokio::spawn(async move { keeper.channels.keep(channel).await });
+    let (keeper, service) = (node.clone(), call.admitted.service.clone());
+    tokio::spawn(async move { keeper.keep_channel(channel, &service).await });
     Opened::Answer(Box::new(Answer {
         status: attempt.head.status,
         headers: node.ports.codec.returned_headers(&parts.headers),
--- a/crates/fl-forward/src/answer/relay.rs
+++ b/crates/fl-forward/src/answer/relay.rs
@@ -121,7 +121,7 @@
     async fn end(&mut self) -> RelayStep {
         self.ended = true;
         if let Some(channel) = self.source.channel.take() {
-            self.node.channels.keep(channel).await;
+            self.node.keep_channel(channel, &self.call.admitted.service).await;
         }
         RelayStep::End
     }
--- a/crates/fl-forward/src/channels.rs
+++ b/crates/fl-forward/src/channels.rs
@@ -5,6 +5,7 @@
 //! server may just have closed.
 
 use bytes::Bytes;
+use fl_limits::shares::share;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -28,8 +29,10 @@
 const UNSTATED_IDLE: Duration = Duration::from_secs(4);
 /// Part of the stated idle time that is used, as the server counts from an earlier moment.
 const USED_IDLE_SHARE: f64 = 0.6;
-/// Idle connections that are kept to one server.
+/// Idle connections that are kept to one server whose limit is not declared.
 const IDLE_MAX: usize = 32;
+/// Part of the connections that a server takes which all nodes together keep idle.
+const KEPT_SHARE: f64 = 0.7;
 
 /// Why a call brought no answer.
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
@@ -108,6 +111,16 @@
     }
 }
 
+/// Idle connections that one of several nodes keeps to a server that takes `connections_max` from
+/// all of them; 0 if that is not declared.
+pub fn idle_max(connections_max: u32, nodes: usize) -> usize {
+    if connections_max == 0 {
+        return IDLE_MAX;
+    }
+    let part = share(f64::from(connections_max) * KEPT_SHARE, nodes);
+    (part as usize).clamp(1, IDLE_MAX)
+}
+
 /// Detects connections on which nothing arrives any more.
 pub fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
@@ -139,7 +152,9 @@
     }
 
     /// Keeps a connection whose last answer ended cleanly, once it is ready for the next call.
-    pub async fn keep(&self, mut channel: Channel) {
+    ///
+    /// At most `idle_max` are kept to one server, see [`idle_max`].
+    pub async fn keep(&self, mut channel: Channel, idle_max: usize) {
         if channel.sender.ready().await.is_err() {
             return;
         }
@@ -150,7 +165,7 @@
             idle.insert(place, (channel.address, Vec::new()));
             place
         });
-        if idle[place].1.len() < IDLE_MAX {
+        if idle[place].1.len() < idle_max {
             idle[place].1.push(channel);
         }
     }
--- a/crates/fl-forward/src/door.rs
+++ b/crates/fl-forward/src/door.rs
@@ -103,7 +103,6 @@
         parts,
         body,
         admitted,
-        received_at: record.received_at,
     };
     drive(&node, Arc::new(call)).await
 }
--- a/crates/fl-forward/src/drive.rs
+++ b/crates/fl-forward/src/drive.rs
@@ -33,8 +33,6 @@
     pub body: Bytes,
     /// What was decided at its admission.
     pub admitted: Admitted,
-    /// When its head was read.
-    pub received_at: Instant,
 }
 
 /// What a call has cost so far.
--- a/crates/fl-forward/src/duty/fleet.rs
+++ b/crates/fl-forward/src/duty/fleet.rs
@@ -111,7 +111,7 @@
         let of_service = |entry: &&ServerEntry| entry.service == service.name;
         let present: Vec<&ServerEntry> = servers.iter().filter(of_service).collect();
         let state = orders.state(&service.name);
-        let zones = state.zones(node, facts, &present, now);
+        let zones = zone_fleets(node, facts, &present);
         if !state.meter.is_settled(now) {
             state.meter.suggest(suggested(&zones));
         }
@@ -140,6 +140,25 @@
     (f64::from(lasting) * FIRST_BUSY_SHARE).max(f64::from(left) * AMPLE_BUSY_SHARE)
 }
 
+/// What each data centre has of a service.
+fn zone_fleets(node: &Node, facts: &ScalingFacts, present: &[&ServerEntry]) -> Vec<ZoneFleet> {
+    let mut names: Vec<String> = facts.zone_prices.iter().map(|(zone, _)| zone.clone()).collect();
+    if names.is_empty() {
+        names = node.settings.zones.clone();
+    }
+    let count = |zone: &str, reclaimable: bool| {
+        let matching =
+            |entry: &&&ServerEntry| entry.zone == zone && entry.reclaimable == reclaimable;
+        present.iter().filter(matching).count() as u32
+    };
+    let fleet = |zone: String| ZoneFleet {
+        lasting: count(&zone, false),
+        reclaimable: count(&zone, true),
+        zone,
+    };
+    names.into_iter().map(fleet).collect()
+}
+
 impl Orders {
     /// Begins anew under another lease; what was measured stays true.
     fn begin(&mut self, fencing: u64) {
@@ -162,41 +181,6 @@
 }
 
 impl ServiceState {
-    fn zones(
-        &self,
-        node: &Node,
-        facts: &ScalingFacts,
-        present: &[&ServerEntry],
-        now: Duration,
-    ) -> Vec<ZoneFleet> {
-        let mut names: Vec<String> =
-            facts.zone_prices.iter().map(|(zone, _)| zone.clone()).collect();
-        if names.is_empty() {
-            names = node.settings.zones.clone();
-        }
-        let count = |zone: &str, reclaimable: bool| {
-            let matching =
-                |entry: &&&ServerEntry| entry.zone == zone && entry.reclaimable == reclaimable;
-            present.iter().filter(matching).count() as u32
-        };
-        let fleet = |zone: String| ZoneFleet {
-            lasting: count(&zone, false),
-            reclaimable: count(&zone, true),
-            is_dry: self.is_dry(&zone, now),
-            zone,
-        };
-        names.into_iter().map(fleet).collect()
-    }
-
-    fn is_dry(&self, zone: &str, now: Duration) -> bool {
-        self.given.iter().any(|given| {
-            given.order.zone == zone
-                && given.order.reclaimable
-                && given.outcome == Some(OrderOutcome::Declined)
-                && now.saturating_sub(given.at) < DRY_PAUSE
-        })
-    }
-
     /// Whether an order differs from the last one, or the last one came to nothing.
     fn is_due(&self, wish: &Wish, facts: &ScalingFacts) -> bool {
         let now = boot_time();
--- a/crates/fl-forward/src/node.rs
+++ b/crates/fl-forward/src/node.rs
@@ -1,7 +1,7 @@
 //! What the parts of a forwarding node share.
 
 use crate::admit::Quotas;
-use crate::channels::ChannelPool;
+use crate::channels::{Channel, ChannelPool, idle_max};
 use crate::clock::boot_time;
 use crate::declared::Declared;
 use crate::duty::DutyState;
@@ -90,6 +90,13 @@
         }
     }
 
+    /// Keeps a connection to a server of a service whose last answer ended cleanly.
+    pub async fn keep_channel(&self, channel: Channel, service: &str) {
+        let table = self.declared.table();
+        let connections_max = table.service(service).map_or(0, |service| service.connections_max);
+        self.channels.keep(channel, idle_max(connections_max, self.peers.nodes())).await;
+    }
+
     /// Counts a call to the platform's store by what it is for and how it ended.
     pub fn count_store_call(&self, purpose: &'static str, is_ok: bool) {
         let result = if is_ok { "ok" } else { "failed" };
--- a/crates/fl-kernel/src/forward.rs
+++ b/crates/fl-kernel/src/forward.rs
@@ -242,8 +242,6 @@
     pub metrics: SocketAddr,
     /// Whether the whole system starts for the first time.
     pub is_first_start: bool,
-    /// Memory the process may use.
-    pub memory_bytes: u64,
     /// Time between two writes of a backend server's registry entry.
     pub server_heartbeat: Duration,
     /// Whether the fleet reports usage.
--- a/crates/fl-protocol/src/forward.rs
+++ b/crates/fl-protocol/src/forward.rs
@@ -82,25 +82,10 @@
     pub name: ServiceName,
     /// Connections one of its backend servers takes from all nodes together; 0 if not declared.
     pub connections_max: u32,
-    /// What its model engines are, for services that have them.
-    pub engine: Option<EngineFacts>,
     /// How its fleet may be ordered, for services that allow it.
     pub scaling: Option<ScalingFacts>,
 }
 
-/// What operators declare of the model engines of a service.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct EngineFacts {
-    /// Requests one engine runs at a time.
-    pub slots: u32,
-    /// Tokens its memory holds.
-    pub memory_tokens: u64,
-    /// Bytes one token takes in memory.
-    pub token_bytes: u64,
-    /// Whether it can keep a copy of a run at another engine.
-    pub backups: bool,
-}
-
 /// Within which bounds the fleet of a service may be ordered, for each data centre.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ScalingFacts {
