Refuse nothing for quotas after nodes were parted or suspended

Ruled out: use beyond the quota (it was at a third of it), the restarts before it. The bucket may be fuller than full by what silent peers are assumed to take. Tests healed_cut_refuses_nothing and suspended_node_refuses_nothing failed first.

--- a/crates/fl-forward/src/admit.rs
+++ b/crates/fl-forward/src/admit.rs
@@ -94,10 +94,10 @@
         }
     }
 
-    /// Forgets peers that may take nothing any more.
-    pub fn forget(&self, may_take: impl Fn(u64) -> bool) {
+    /// Forgets lives of peers that will not speak again.
+    pub fn keep_peers(&self, is_known: impl Fn(u64) -> bool) {
         for (_, quota) in self.quotas.lock().iter_mut() {
-            quota.forget(&may_take);
+            quota.keep_peers(&is_known);
         }
     }
 
--- a/crates/fl-forward/src/peers.rs
+++ b/crates/fl-forward/src/peers.rs
@@ -201,12 +201,9 @@
         sums
     }
 
-    /// Lives of peers that may still admit calls.
-    fn admitting(&self) -> Vec<u64> {
-        let now = boot_time();
-        let state = self.state.lock();
-        let admitting = state.peers.iter().filter(|peer| peer.may_admit(now));
-        admitting.map(|peer| life(&peer.report)).collect()
+    /// Lives of the peers that are remembered.
+    fn lives(&self) -> Vec<u64> {
+        self.state.lock().peers.iter().map(|peer| life(&peer.report)).collect()
     }
 
     /// Tokens that all other nodes sent to be read by a service, as far as they told; never falls.
--- a/crates/fl-forward/src/peers/exchange.rs
+++ b/crates/fl-forward/src/peers/exchange.rs
@@ -21,8 +21,8 @@
         }
         node.servers.set_peers_load(&node.peers.loads());
         note_cut_off_zones(&node);
-        let admitting = node.peers.admitting();
-        node.quotas.forget(|peer| admitting.contains(&peer));
+        let lives = node.peers.lives();
+        node.quotas.keep_peers(|peer| lives.contains(&peer));
         let report = own_report(&node);
         if let Ok(bytes) = postcard::to_stdvec(&report) {
             for address in node.peers.addresses() {
--- a/crates/fl-limits/src/shared_quota.rs
+++ b/crates/fl-limits/src/shared_quota.rs
@@ -10,6 +10,8 @@
 const PACE_MEMORY: Duration = Duration::from_millis(1500);
 /// How long a level that began as a guess stays one; what was taken before is over by then.
 const GUESS_TIME: Duration = Duration::from_secs(10);
+/// How long a silent peer is assumed to go on; its callers' keys lose their force by then.
+const ASSUMED_TIME: Duration = Duration::from_secs(6);
 /// A quota is scarce when less is left than it gains in this time.
 const SCARCE_TIME: Duration = Duration::from_millis(1000);
 /// The longest time to come back that callers are told; quotas may change meanwhile.
@@ -100,7 +102,7 @@
     pub fn report(&mut self, now: Duration) -> QuotaReport {
         self.refill(now);
         let is_guess = self.guess_until.is_some();
-        QuotaReport { taken: self.taken, level: self.level, is_guess }
+        QuotaReport { taken: self.taken, level: self.level - self.assumed(now), is_guess }
     }
 
     /// Takes a peer's report; `peer` names one life of its process.
@@ -123,7 +125,9 @@
         known.pace_per_s += (took / elapsed_s - known.pace_per_s) * share;
         known.taken = report.taken;
         known.heard_at = now;
-        self.level -= took;
+        // After a longer silence than was assumed for, the bucket was full all the while before; what
+        // was taken then is made good already.
+        self.level -= took * (ASSUMED_TIME.as_secs_f64() / elapsed_s).min(1.0);
     }
 
     fn take_level(&mut self, report: QuotaReport) {
@@ -134,9 +138,9 @@
         self.level = if knows { self.level.min(report.level) } else { report.level };
     }
 
-    /// Forgets peers that may take nothing any more; `may_take` judges them.
-    pub fn forget(&mut self, may_take: impl Fn(u64) -> bool) {
-        self.peers.retain(|known| may_take(known.peer));
+    /// Forgets lives of peers that will not speak again.
+    pub fn keep_peers(&mut self, is_known: impl Fn(u64) -> bool) {
+        self.peers.retain(|known| is_known(known.peer));
     }
 
     /// Takes units if the quota has them; otherwise says when to come back.
@@ -168,8 +172,10 @@
 
     /// Units that the peers are assumed to have taken since they last spoke.
     fn assumed(&self, now: Duration) -> f64 {
-        let of_peer =
-            |known: &PeerPace| known.pace_per_s * now.saturating_sub(known.heard_at).as_secs_f64();
+        let of_peer = |known: &PeerPace| {
+            let silence = now.saturating_sub(known.heard_at).min(ASSUMED_TIME);
+            known.pace_per_s * silence.as_secs_f64()
+        };
         self.peers.iter().map(of_peer).sum()
     }
 
@@ -177,7 +183,9 @@
         let elapsed_s = now.saturating_sub(self.as_of).as_secs_f64();
         self.as_of = self.as_of.max(now);
         let refilled = self.level + self.limit.rate_per_s * elapsed_s;
-        self.level = refilled.min(self.limit.burst);
+        // What silent peers are assumed to take comes off when they speak again, so the bucket may
+        // be fuller than full by that much until then.
+        self.level = refilled.min(self.limit.burst + self.assumed(now));
         if self.guess_until.is_some_and(|until| now >= until) {
             self.guess_until = None;
         }
--- a/crates/fl-limits/tests/shared_quota.rs
+++ b/crates/fl-limits/tests/shared_quota.rs
@@ -2,6 +2,7 @@
 
 use fl_limits::{QuotaLimit, SharedQuota};
 use proptest::prelude::*;
+use rstest::rstest;
 use std::time::Duration;
 
 const LIMIT: QuotaLimit =
@@ -140,6 +141,42 @@
     assert!(most <= allowed, "{most} of {allowed}");
 }
 
+/// Nodes that take much less than the quota refuse nothing after they were parted for a while.
+#[rstest]
+#[case::short_cut(2_000)]
+#[case::long_cut(5_500)]
+#[case::longer_than_assumed(9_000)]
+fn healed_cut_refuses_nothing(#[case] cut_ms: u64) {
+    let mut fleet = Fleet::new(3);
+    for step in 0..1_500 {
+        let now_ms = step * 10;
+        let is_cut = (3_000..3_000 + cut_ms).contains(&now_ms);
+        if now_ms % REPORT_EVERY_MS == 0 {
+            fleet.report(now_ms, |from, to| !is_cut || (from == 0) == (to == 0));
+        }
+        let taken = fleet.ask((step % 3) as usize, 600.0, now_ms);
+        assert!(taken, "refused at {now_ms} ms");
+    }
+}
+
+/// A node that was suspended hears at once of what the others took meanwhile.
+#[test]
+fn suspended_node_refuses_nothing() {
+    let mut fleet = Fleet::new(3);
+    for step in 0..1_500 {
+        let now_ms = step * 10;
+        let is_suspended = (3_000..9_400).contains(&now_ms);
+        let hears = |from, to| !is_suspended || (from != 0 && to != 0);
+        if now_ms % REPORT_EVERY_MS == 0 {
+            fleet.report(now_ms, hears);
+        }
+        let node = (step % 3) as usize;
+        if node != 0 || !is_suspended {
+            assert!(fleet.ask(node, 800.0, now_ms), "refused at {now_ms} ms");
+        }
+    }
+}
+
 #[test]
 fn restarted_node_learns_level() {
     let mut old = SharedQuota::unused(LIMIT, at(0));
