Take a peer's word for the level of a quota after a long silence

A peer that heard the others knows better, but for what this node took itself. Test suspended_early_node_refuses_nothing failed first.

--- a/crates/fl-limits/src/shared_quota.rs
+++ b/crates/fl-limits/src/shared_quota.rs
@@ -12,6 +12,8 @@
 const GUESS_TIME: Duration = Duration::from_secs(10);
 /// How long a silent peer is assumed to go on; its callers' keys lose their force by then.
 const ASSUMED_TIME: Duration = Duration::from_secs(6);
+/// Silence after which a peer's belief about the level counts.
+const LONG_SILENCE: Duration = Duration::from_millis(1000);
 /// A quota is scarce when less is left than it gains in this time.
 const SCARCE_TIME: Duration = Duration::from_millis(1000);
 /// The longest time to come back that callers are told; quotas may change meanwhile.
@@ -60,6 +62,8 @@
     taken: f64,
     pace_per_s: f64,
     heard_at: Duration,
+    /// What this node had taken then.
+    own_taken: f64,
 }
 
 /// One quota at one node.
@@ -113,7 +117,13 @@
         self.refill(now);
         let place = self.peers.binary_search_by_key(&peer, |known| known.peer);
         let Ok(place) = place else {
-            let pace = PeerPace { peer, taken: report.taken, pace_per_s: 0.0, heard_at: now };
+            let pace = PeerPace {
+                peer,
+                taken: report.taken,
+                pace_per_s: 0.0,
+                heard_at: now,
+                own_taken: self.taken,
+            };
             self.peers.insert(place.unwrap_or_else(|place| place), pace);
             self.take_level(report);
             return;
@@ -125,9 +135,15 @@
         known.pace_per_s += (took / elapsed_s - known.pace_per_s) * share;
         known.taken = report.taken;
         known.heard_at = now;
+        let own_since = self.taken - std::mem::replace(&mut known.own_taken, self.taken);
         // After a longer silence than was assumed for, the bucket was full all the while before; what
         // was taken then is made good already.
         self.level -= took * (ASSUMED_TIME.as_secs_f64() / elapsed_s).min(1.0);
+        if elapsed_s > LONG_SILENCE.as_secs_f64() && !report.is_guess {
+            // The peer may have heard all others meanwhile and knows better, but for what was taken
+            // here.
+            self.level = self.level.max(report.level - own_since);
+        }
     }
 
     fn take_level(&mut self, report: QuotaReport) {
--- a/crates/fl-limits/tests/shared_quota.rs
+++ b/crates/fl-limits/tests/shared_quota.rs
@@ -177,6 +177,24 @@
     }
 }
 
+/// A node that was suspended before it knew the others' pace takes their word for the level.
+#[test]
+fn suspended_early_node_refuses_nothing() {
+    let mut fleet = Fleet::new(3);
+    for step in 0..1_000 {
+        let now_ms = step * 10;
+        let is_suspended = (300..5_000).contains(&now_ms);
+        let hears = |from, to| !is_suspended || (from != 0 && to != 0);
+        if now_ms % REPORT_EVERY_MS == 0 {
+            fleet.report(now_ms, hears);
+        }
+        let node = (step % 3) as usize;
+        if now_ms >= 250 && (node != 0 || !is_suspended) {
+            assert!(fleet.ask(node, 1_000.0, now_ms), "refused at {now_ms} ms");
+        }
+    }
+}
+
 #[test]
 fn restarted_node_learns_level() {
     let mut old = SharedQuota::unused(LIMIT, at(0));
