--- a/crates/fl-routing/src/registered.rs
+++ b/crates/fl-routing/src/registered.rs
@@ -11,9 +11,6 @@
 /// Heartbeats without a read after which entries may have lapsed unseen.
 const LAPSE_HEARTBEATS: u32 = 2;
 
-/// Share of the heartbeats that were due which a store that was not away has taken.
-const WRITTEN_SHARE: f64 = 0.6;
-
 /// A server that may be used or was lately.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Registered {
@@ -71,7 +68,8 @@
         if revision < self.revision {
             return Vec::new();
         }
-        if self.was_store_away(revision, asked_at, heartbeat) {
+        let silence = self.read_at.map(|read_at| asked_at.saturating_sub(read_at));
+        if silence.is_some_and(|silence| silence > heartbeat * LAPSE_HEARTBEATS) {
             self.outage_ended_at = Some(asked_at);
         }
         self.revision = revision;
@@ -82,22 +80,6 @@
         self.merge(list, asked_at, keeps_missing)
     }
 
-    /// Whether the store was away since the last list, and not just out of this node's reach.
-    ///
-    /// Each heartbeat of a server is a write. If the store counted most of those that were due, it
-    /// took them, and no entry lapsed.
-    fn was_store_away(&self, revision: u64, now: Duration, heartbeat: Duration) -> bool {
-        let Some(read_at) = self.read_at else { return false };
-        let silence = now.saturating_sub(read_at);
-        if silence <= heartbeat * LAPSE_HEARTBEATS {
-            return false;
-        }
-        let heartbeats = silence.as_secs_f64() / heartbeat.as_secs_f64().max(f64::MIN_POSITIVE);
-        let due = heartbeats * self.servers.len() as f64;
-        let writes = revision.saturating_sub(self.revision) as f64;
-        writes < due * WRITTEN_SHARE
-    }
-
     fn merge(
         &mut self,
         list: Vec<ServerEntry>,
