Keep missing entries for a shorter time after the registry was out of reach

A data centre was cut off from 24.6 to 30.1 s; a node there took the entry for one that had lapsed in an outage of the store, kept it for 2.2 s from its first read at 30.95 s, and looked again only every 0.9 s. It keeps it for 1.3 s now and looks every 0.3 s meanwhile.

Tried before and reverted: to tell an outage from a cut by the store's revision.

--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -95,6 +95,11 @@
         self.state.lock().registered.usable().cloned().collect()
     }
 
+    /// Says whether servers are used whose entries are missing.
+    pub fn keeps_missing(&self) -> bool {
+        self.state.lock().registered.keeps_missing(boot_time())
+    }
+
     /// When the registry was last read, on the boot clock.
     pub fn read_at(&self) -> Option<Duration> {
         self.state.lock().registered.read_at()
--- a/crates/fl-forward/src/servers/feed.rs
+++ b/crates/fl-forward/src/servers/feed.rs
@@ -10,6 +10,8 @@
 /// Time between two reads of the registry. With the time an answer takes it stays well below the
 /// shortest time in which a leaving server has to be known.
 const READ_INTERVAL: Duration = Duration::from_millis(900);
+/// Time between two reads while entries that are missing are still used.
+const KEEPING_INTERVAL: Duration = Duration::from_millis(300);
 /// Pause after a read that brought nothing.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -23,7 +25,7 @@
                     let away_ms = (boot_time() - since).as_millis() as u64;
                     node.log.write(&DependencyRegained { dependency: "server registry", away_ms });
                 }
-                READ_INTERVAL
+                if node.servers.keeps_missing() { KEEPING_INTERVAL } else { READ_INTERVAL }
             }
             Err(error) => {
                 if lost_at.is_none() {
--- a/crates/fl-routing/src/registered.rs
+++ b/crates/fl-routing/src/registered.rs
@@ -6,8 +6,10 @@
 use fl_protocol::forward::{ServerEntry, ServerState};
 use std::time::Duration;
 
-/// How long after the store's return a living server needs to register again.
-const REGISTRATION_TIME: Duration = Duration::from_millis(2200);
+/// How long after the first list that was read again a living server needs to register again. The
+/// store may have been back for most of a second by then, and what is still missing two seconds
+/// after its return is gone.
+const REGISTRATION_TIME: Duration = Duration::from_millis(1300);
 /// Heartbeats without a read after which entries may have lapsed unseen.
 const LAPSE_HEARTBEATS: u32 = 2;
 
@@ -47,6 +49,12 @@
         usable.map(|server| &server.entry)
     }
 
+    /// Says whether missing entries are kept for now, so that the next list is wanted soon.
+    pub fn keeps_missing(&self, now: Duration) -> bool {
+        let since = self.outage_ended_at.map(|ended| now.saturating_sub(ended));
+        since.is_some_and(|since| since < REGISTRATION_TIME)
+    }
+
     /// When the last list was read.
     pub fn read_at(&self) -> Option<Duration> {
         self.read_at
@@ -74,10 +82,7 @@
         }
         self.revision = revision;
         self.read_at = Some(asked_at);
-        let keeps_missing = self
-            .outage_ended_at
-            .is_some_and(|ended| asked_at.saturating_sub(ended) < REGISTRATION_TIME);
-        self.merge(list, asked_at, keeps_missing)
+        self.merge(list, asked_at, self.keeps_missing(asked_at))
     }
 
     fn merge(
--- a/crates/fl-routing/tests/registered.rs
+++ b/crates/fl-routing/tests/registered.rs
@@ -58,9 +58,9 @@
     world.list(0, &[("a", READY), ("b", READY)]);
     world.list(6_000, &[("a", READY)]);
     assert_eq!(world.usable(), ["a", "b"], "its server had no time to register again");
-    for at_ms in [7_000, 8_000, 9_000] {
-        world.list(at_ms, &[("a", READY)]);
-    }
+    world.list(7_000, &[("a", READY)]);
+    assert_eq!(world.usable(), ["a", "b"]);
+    world.list(7_600, &[("a", READY)]);
     assert_eq!(world.usable(), ["a"], "what is still missing is gone");
 }
 
