Order nothing away before the demand was measured for ten seconds

The reckoning of what is there had not followed the change to ample servers over all data centres together. Tests young_holder_orders_nothing_away and lost_zone_suggests_as_much_as_before.

--- a/crates/fl-fleet/src/demand.rs
+++ b/crates/fl-fleet/src/demand.rs
@@ -11,6 +11,9 @@
 /// How long the highest need stays the measure, so that a wave's trough orders nothing away.
 const MEMORY: Duration = Duration::from_secs(20);
 
+/// Time of measuring after which servers may be ordered away.
+const SETTLED: Duration = Duration::from_secs(10);
+
 /// The demand of one service.
 #[derive(Debug, Clone, Default)]
 pub struct DemandMeter {
@@ -52,7 +55,7 @@
 
     /// Says whether the demand was measured long enough to order servers away.
     pub fn is_settled(&self, now: Duration) -> bool {
-        self.began_at.is_some_and(|began_at| now.saturating_sub(began_at) >= MEMORY)
+        self.began_at.is_some_and(|began_at| now.saturating_sub(began_at) >= SETTLED)
     }
 
     /// Servers that the demand of the last while keeps busy at its highest.
--- a/crates/fl-fleet/src/scaling.rs
+++ b/crates/fl-fleet/src/scaling.rs
@@ -120,3 +120,25 @@
     let place = facts.zone_prices.binary_search_by(|(zone, _)| zone.cmp(&order.zone));
     place.map_or(1.0, |place| facts.zone_prices[place].1)
 }
+
+/// The busy servers that what is there suggests to a node that has not measured the demand for long.
+///
+/// Lasting servers found at the start are mostly more than enough, so a share of them counts.
+/// Reclaimable ones were ordered alike for each data centre, also for those that have lost theirs.
+pub fn suggested_busy(zones: &[ZoneFleet], lasting_share: f64, reclaimable_share: f64) -> f64 {
+    let lasting: u32 = zones.iter().map(|fleet| fleet.lasting).sum();
+    let most = zones.iter().map(|fleet| fleet.reclaimable).max().unwrap_or(0);
+    let reclaimable = f64::from(most) * zones.len() as f64;
+    (f64::from(lasting) * lasting_share).max(reclaimable * reclaimable_share)
+}
+
+/// Raises orders to what is there, for a node that has not measured the demand for long; lasting
+/// servers only if `keeps_lasting`, since those of the system's first start are too many.
+pub fn keep_present(orders: &mut [ZoneOrder], zones: &[ZoneFleet], keeps_lasting: bool) {
+    for (order, fleet) in orders.iter_mut().zip(zones) {
+        order.reclaimable = order.reclaimable.max(fleet.reclaimable);
+        if keeps_lasting {
+            order.lasting = order.lasting.max(fleet.lasting);
+        }
+    }
+}
--- a/crates/fl-fleet/tests/scaling.rs
+++ b/crates/fl-fleet/tests/scaling.rs
@@ -1,6 +1,6 @@
 //! Orders of backend servers: demand, price, a lost data centre, none to be had.
 
-use fl_fleet::scaling::{Need, ZoneFleet, ZoneOrder, plan};
+use fl_fleet::scaling::{Need, ZoneFleet, ZoneOrder, keep_present, plan, suggested_busy};
 use fl_protocol::forward::ScalingFacts;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -76,6 +76,31 @@
     assert_eq!(total(&plan(&facts(3), &lost, need)).0, 2, "one a lost zone, at least");
 }
 
+/// What a node orders that became the holder just after its start, while one data centre has lost its
+/// servers: at least what is there.
+#[rstest]
+#[case::one_zone_lost([fleet(0, 0, 7), fleet(1, 0, 8), fleet(2, 0, 0)])]
+#[case::hardly_anything_left([fleet(0, 0, 0), fleet(1, 0, 2), fleet(2, 0, 0)])]
+#[case::lasting_in_their_place([fleet(0, 5, 0), fleet(1, 4, 1), fleet(2, 0, 0)])]
+fn young_holder_orders_nothing_away(#[case] zones: [ZoneFleet; 3]) {
+    let busy = suggested_busy(&zones, 0.2, 0.3);
+    let need = Need { ample: busy / 0.3, least: busy / 0.4 };
+    let mut orders = plan(&facts(3), &zones, need);
+    keep_present(&mut orders, &zones, true);
+    for (order, fleet) in orders.iter().zip(&zones) {
+        assert!(order.reclaimable >= fleet.reclaimable, "{order:?} {fleet:?}");
+        assert!(order.lasting >= fleet.lasting, "{order:?} {fleet:?}");
+    }
+}
+
+#[test]
+fn lost_zone_suggests_as_much_as_before() {
+    let whole = [fleet(0, 0, 8), fleet(1, 0, 8), fleet(2, 0, 8)];
+    let lost = [fleet(0, 0, 7), fleet(1, 0, 8), fleet(2, 0, 0)];
+    let busy = |zones: &[ZoneFleet]| suggested_busy(zones, 0.2, 0.3);
+    assert!((busy(&whole) - busy(&lost)).abs() < 0.01);
+}
+
 #[test]
 fn dear_reclaimable_not_taken() {
     let facts = ScalingFacts { reclaimable_price: Some(0.9), ..facts(3) };
--- a/crates/fl-forward/src/duty/fleet.rs
+++ b/crates/fl-forward/src/duty/fleet.rs
@@ -4,7 +4,7 @@
 use crate::log::event::FleetOrdered;
 use crate::node::Node;
 use fl_fleet::demand::DemandMeter;
-use fl_fleet::scaling::{Need, ZoneFleet, ZoneOrder, plan};
+use fl_fleet::scaling::{Need, ZoneFleet, ZoneOrder, keep_present, plan, suggested_busy};
 use fl_kernel::forward::{DutyToken, FleetOrder, OrderOutcome, PlatformError};
 use fl_protocol::ServiceName;
 use fl_protocol::forward::{ScalingFacts, ServerEntry};
@@ -112,14 +112,19 @@
         let present: Vec<&ServerEntry> = servers.iter().filter(of_service).collect();
         let state = orders.state(&service.name);
         let zones = zone_fleets(node, facts, &present);
-        if !state.meter.is_settled(now) {
-            state.meter.suggest(suggested(&zones));
+        let is_settled = state.meter.is_settled(now);
+        if !is_settled {
+            state.meter.suggest(suggested_busy(&zones, FIRST_BUSY_SHARE, AMPLE_BUSY_SHARE));
         }
         let need = Need {
             ample: state.meter.highest() / AMPLE_BUSY_SHARE,
             least: state.meter.now() / LEAST_BUSY_SHARE,
         };
-        for (order, fleet) in plan(facts, &zones, need).iter().zip(&zones) {
+        let mut planned = plan(facts, &zones, need);
+        if !is_settled {
+            keep_present(&mut planned, &zones, !node.settings.is_first_start);
+        }
+        for (order, fleet) in planned.iter().zip(&zones) {
             for wish in wishes(&service.name, order, fleet, all_registered) {
                 if state.is_due(&wish, facts) {
                     state.send(node, token, wish, need).await?;
@@ -130,16 +135,6 @@
     Ok(())
 }
 
-/// The busy servers that what is there suggests: lasting servers found at the start are mostly more than
-/// enough, and reclaimable ones were ordered so that a data centre's may be lost.
-fn suggested(zones: &[ZoneFleet]) -> f64 {
-    let lasting: u32 = zones.iter().map(|fleet| fleet.lasting).sum();
-    let reclaimable: Vec<u32> = zones.iter().map(|fleet| fleet.reclaimable).collect();
-    let most = reclaimable.iter().max().copied().unwrap_or(0);
-    let left = reclaimable.iter().sum::<u32>() - most;
-    (f64::from(lasting) * FIRST_BUSY_SHARE).max(f64::from(left) * AMPLE_BUSY_SHARE)
-}
-
 /// What each data centre has of a service.
 fn zone_fleets(node: &Node, facts: &ScalingFacts, present: &[&ServerEntry]) -> Vec<ZoneFleet> {
     let mut names: Vec<String> = facts.zone_prices.iter().map(|(zone, _)| zone.clone()).collect();
