--- a/crates/fl-forward/src/duty/fleet.rs
+++ b/crates/fl-forward/src/duty/fleet.rs
@@ -27,7 +27,7 @@
 const DRY_PAUSE: Duration = Duration::from_millis(3000);
 const MS_PER_S: f64 = 1000.0;
 
-/// What was ordered and measured under one lease.
+/// What was measured at this node, and what it ordered under its lease.
 #[derive(Debug, Default)]
 pub struct Orders {
     fencing: u64,
@@ -35,10 +35,12 @@
     services: Vec<ServiceState>,
 }
 
+/// One service whose fleet may be ordered.
 #[derive(Debug)]
 struct ServiceState {
     name: ServiceName,
     meter: DemandMeter,
+    /// The last order of each kind in each data centre under this lease.
     given: Vec<Given>,
 }
 
