Keep a larger reserve of reclaimable servers and fewer lasting ones

A reclaimable one costs 0.15 to 0.18 of a lasting one, so the reserve belongs there.

The shares moved from the service to the decisions. Where no reclaimable servers are offered the share of lasting ones is a third one and stays at 0.4. Test: dry_spell_costs_few_lasting.

--- a/crates/fl-fleet/src/scaling.rs
+++ b/crates/fl-fleet/src/scaling.rs
@@ -10,6 +10,17 @@
 /// Reclaimable servers are preferred up to this price, as a share of a lasting server's; above it
 /// the spare ones for a lost data centre eat up what they save.
 const RECLAIMABLE_PRICE_MAX: f64 = 0.6;
+/// Share of a server's time that reads prompts when first tokens come soon, also after a data centre
+/// lost its servers.
+const AMPLE_BUSY_SHARE: f64 = 0.25;
+/// Share of a lasting server's time that reads prompts where there are no reclaimable ones, so that
+/// no data centre loses all of its servers at once.
+const STEADY_BUSY_SHARE: f64 = 0.4;
+/// Share of a server's time that reads prompts when first tokens still come in time.
+const LEAST_BUSY_SHARE: f64 = 0.6;
+/// Share of the lasting servers found at the start that the demand is assumed to keep busy before it
+/// was measured.
+const FIRST_BUSY_SHARE: f64 = 0.2;
 
 /// What a data centre has of a service.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -38,16 +49,30 @@
 pub struct Need {
     /// Enough for the highest demand of the last while with short queues.
     pub ample: f64,
+    /// Enough for that demand on servers that stay.
+    pub steady: f64,
     /// Enough for the demand of now, with queues.
     pub least: f64,
 }
 
+impl Need {
+    /// The servers that are needed when the demand keeps so many busy, at the highest of the last
+    /// while and now.
+    pub fn of_busy(highest: f64, now: f64) -> Self {
+        Need {
+            ample: highest / AMPLE_BUSY_SHARE,
+            steady: highest / STEADY_BUSY_SHARE,
+            least: now / LEAST_BUSY_SHARE,
+        }
+    }
+}
+
 /// Plans the fleet of a service: ample reclaimable servers, and lasting ones for what is missing of
 /// the least.
 pub fn plan(facts: &ScalingFacts, zones: &[ZoneFleet], need: Need) -> Vec<ZoneOrder> {
     let reclaimable = reclaimable_per_zone(facts, zones.len(), need);
     if reclaimable == 0 {
-        return lasting_only(facts, zones, need.ample);
+        return lasting_only(facts, zones, need.steady);
     }
     let mut orders: Vec<ZoneOrder> = zones
         .iter()
@@ -125,11 +150,11 @@
 ///
 /// Lasting servers found at the start are mostly more than enough, so a share of them counts.
 /// Reclaimable ones were ordered alike for each data centre, also for those that have lost theirs.
-pub fn suggested_busy(zones: &[ZoneFleet], lasting_share: f64, reclaimable_share: f64) -> f64 {
+pub fn suggested_busy(zones: &[ZoneFleet]) -> f64 {
     let lasting: u32 = zones.iter().map(|fleet| fleet.lasting).sum();
     let most = zones.iter().map(|fleet| fleet.reclaimable).max().unwrap_or(0);
     let reclaimable = f64::from(most) * zones.len() as f64;
-    (f64::from(lasting) * lasting_share).max(reclaimable * reclaimable_share)
+    (f64::from(lasting) * FIRST_BUSY_SHARE).max(reclaimable * AMPLE_BUSY_SHARE)
 }
 
 /// Raises orders to what is there, for a node that has not measured the demand for long; lasting
--- a/crates/fl-fleet/tests/scaling.rs
+++ b/crates/fl-fleet/tests/scaling.rs
@@ -21,7 +21,7 @@
 }
 
 fn same(needed: f64) -> Need {
-    Need { ample: needed, least: needed }
+    Need { ample: needed, steady: needed, least: needed }
 }
 
 fn total(orders: &[ZoneOrder]) -> (u32, u32) {
@@ -45,7 +45,7 @@
 #[test]
 fn ample_in_all_zones_together() {
     let fleets: Vec<ZoneFleet> = (0..3).map(|zone| fleet(zone, 4, 0)).collect();
-    let orders = plan(&facts(3), &fleets, Need { ample: 15.0, least: 6.0 });
+    let orders = plan(&facts(3), &fleets, Need { ample: 15.0, steady: 15.0, least: 6.0 });
     assert!(orders.iter().all(|order| order.reclaimable == 5), "{orders:?}");
 }
 
@@ -72,10 +72,25 @@
 #[test]
 fn lasting_only_for_the_least() {
     let lost = [fleet(0, 0, 4), fleet(1, 0, 0), fleet(2, 0, 0)];
-    let need = Need { ample: 8.0, least: 5.0 };
+    let need = Need { ample: 8.0, steady: 8.0, least: 5.0 };
     assert_eq!(total(&plan(&facts(3), &lost, need)).0, 2, "one a lost zone, at least");
 }
 
+/// A dry spell: reclaimable servers are to be had in one data centre after the other only. Their
+/// reserve is cheap, lasting ones are ordered for the demand of now alone.
+#[test]
+fn dry_spell_costs_few_lasting() {
+    let need = Need::of_busy(3.0, 3.0);
+    let whole = [fleet(0, 0, 4), fleet(1, 0, 4), fleet(2, 0, 4)];
+    assert_eq!(total(&plan(&facts(3), &whole, need)), (0, 12));
+    let one_left = [fleet(0, 0, 4), fleet(1, 0, 0), fleet(2, 0, 0)];
+    assert_eq!(total(&plan(&facts(3), &one_left, need)).0, 2, "the least of two data centres");
+    let none_left = [fleet(0, 0, 0), fleet(1, 0, 0), fleet(2, 0, 0)];
+    assert_eq!(total(&plan(&facts(3), &none_left, need)).0, 5);
+    let steady = ScalingFacts { reclaimable_price: None, ..facts(3) };
+    assert_eq!(total(&plan(&steady, &none_left, need)), (8, 0), "a longer queue would stay");
+}
+
 /// What a node orders that became the holder just after its start, while one data centre has lost its
 /// servers: at least what is there.
 #[rstest]
@@ -83,8 +98,8 @@
 #[case::hardly_anything_left([fleet(0, 0, 0), fleet(1, 0, 2), fleet(2, 0, 0)])]
 #[case::lasting_in_their_place([fleet(0, 5, 0), fleet(1, 4, 1), fleet(2, 0, 0)])]
 fn young_holder_orders_nothing_away(#[case] zones: [ZoneFleet; 3]) {
-    let busy = suggested_busy(&zones, 0.2, 0.3);
-    let need = Need { ample: busy / 0.3, least: busy / 0.4 };
+    let busy = suggested_busy(&zones);
+    let need = Need::of_busy(busy, busy);
     let mut orders = plan(&facts(3), &zones, need);
     keep_present(&mut orders, &zones, true);
     for (order, fleet) in orders.iter().zip(&zones) {
@@ -97,8 +112,7 @@
 fn lost_zone_suggests_as_much_as_before() {
     let whole = [fleet(0, 0, 8), fleet(1, 0, 8), fleet(2, 0, 8)];
     let lost = [fleet(0, 0, 7), fleet(1, 0, 8), fleet(2, 0, 0)];
-    let busy = |zones: &[ZoneFleet]| suggested_busy(zones, 0.2, 0.3);
-    assert!((busy(&whole) - busy(&lost)).abs() < 0.01);
+    assert!((suggested_busy(&whole) - suggested_busy(&lost)).abs() < 0.01);
 }
 
 #[test]
--- a/crates/fl-forward/src/duty/fleet.rs
+++ b/crates/fl-forward/src/duty/fleet.rs
@@ -14,13 +14,6 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 /// Heartbeats after which all living servers have registered.
 const REGISTRATION_HEARTBEATS: u32 = 4;
-/// Share of a server's time that reads prompts when first tokens come soon.
-const AMPLE_BUSY_SHARE: f64 = 0.3;
-/// Share of a server's time that reads prompts when first tokens still come in time.
-const LEAST_BUSY_SHARE: f64 = 0.4;
-/// Share of the servers found at the start that the demand is assumed to keep busy before it was
-/// measured.
-const FIRST_BUSY_SHARE: f64 = 0.2;
 /// How much longer than the boot an order may take before it is given again.
 const ORDER_MARGIN: Duration = Duration::from_millis(2500);
 /// How long a data centre that had no reclaimable servers is not asked again.
@@ -116,12 +109,9 @@
         let zones = zone_fleets(node, facts, &present);
         let is_settled = state.meter.is_settled(now);
         if !is_settled {
-            state.meter.suggest(suggested_busy(&zones, FIRST_BUSY_SHARE, AMPLE_BUSY_SHARE));
+            state.meter.suggest(suggested_busy(&zones));
         }
-        let need = Need {
-            ample: state.meter.highest() / AMPLE_BUSY_SHARE,
-            least: state.meter.now() / LEAST_BUSY_SHARE,
-        };
+        let need = Need::of_busy(state.meter.highest(), state.meter.now());
         let mut planned = plan(facts, &zones, need);
         if !is_settled {
             keep_present(&mut planned, &zones, !node.settings.is_first_start);
