Keep lasting servers for half the need when one data centre has all reclaimable ones

Orders also waited up to half a second for the next look.

Lasting servers now cover half of the least need beyond the data centre that has most reclaimable ones, and a change of the registry wakes the orders.

--- a/crates/fl-fleet/src/scaling.rs
+++ b/crates/fl-fleet/src/scaling.rs
@@ -18,6 +18,9 @@
 const STEADY_BUSY_SHARE: f64 = 0.4;
 /// Share of a server's time that reads prompts when first tokens still come in time.
 const LEAST_BUSY_SHARE: f64 = 0.6;
+/// Share of the least need that stays when the data centre with most reclaimable servers loses them;
+/// it bridges the time until others have booted.
+const BRIDGE_SHARE: f64 = 0.5;
 /// Share of the lasting servers found at the start that the demand is assumed to keep busy before it
 /// was measured.
 const FIRST_BUSY_SHARE: f64 = 0.2;
@@ -78,12 +81,21 @@
         .iter()
         .map(|fleet| ZoneOrder { zone: fleet.zone.clone(), lasting: 0, reclaimable })
         .collect();
-    let ready: u32 = zones.iter().map(|fleet| fleet.reclaimable.min(reclaimable)).sum();
-    let missing = (need.least.ceil() as u32).saturating_sub(ready);
-    fill(facts, zones, &mut orders, missing);
+    fill(facts, zones, &mut orders, missing(zones, reclaimable, need));
     orders
 }
 
+/// Servers that reclaimable ones lack of the least need, now or once the data centre that has most of
+/// them loses them.
+fn missing(zones: &[ZoneFleet], ordered: u32, need: Need) -> u32 {
+    let ready = zones.iter().map(|fleet| fleet.reclaimable.min(ordered));
+    let most = ready.clone().max().unwrap_or(0);
+    let ready: u32 = ready.sum();
+    let bridge = (need.least * BRIDGE_SHARE).ceil() as u32;
+    let now = (need.least.ceil() as u32).saturating_sub(ready);
+    now.max(bridge.saturating_sub(ready - most))
+}
+
 fn lasting_only(facts: &ScalingFacts, zones: &[ZoneFleet], needed: f64) -> Vec<ZoneOrder> {
     let mut orders: Vec<ZoneOrder> = zones
         .iter()
--- a/crates/fl-forward/src/duty.rs
+++ b/crates/fl-forward/src/duty.rs
@@ -14,6 +14,7 @@
 use parking_lot::Mutex;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Notify;
 
 /// The table of the duties' rows.
 const DUTY_TABLE: &str = "duty";
@@ -25,6 +26,7 @@
 #[derive(Default)]
 pub struct DutyState {
     held: Mutex<Option<(Lease<Held>, u64)>>,
+    servers_changed: Notify,
 }
 
 /// What a holder remembers of its duties.
@@ -41,6 +43,11 @@
 }
 
 impl DutyState {
+    /// Takes word that servers came or went, which may call for orders at once.
+    pub fn servers_changed(&self) {
+        self.servers_changed.notify_one();
+    }
+
     /// The fencing number, while this node holds the lease.
     pub fn fencing(&self) -> Option<u64> {
         let held = self.held.lock();
@@ -56,7 +63,12 @@
     let own = node.settings.vm.clone();
     let mut view = View::Watching(Lease::new(&own, node.settings.bounds.lease, boot_time()));
     let mut work = Work::default();
-    while node.pause(LOOK_INTERVAL).await.is_some() {
+    loop {
+        tokio::select! {
+            () = node.cancel.cancelled() => return,
+            () = tokio::time::sleep(LOOK_INTERVAL) => {}
+            () = node.duty.servers_changed.notified() => {}
+        }
         if node.settings.orders_fleet {
             fleet::measure(&node, &mut work.orders);
         }
--- a/crates/fl-forward/src/duty/fleet.rs
+++ b/crates/fl-forward/src/duty/fleet.rs
@@ -25,6 +25,8 @@
 pub struct Orders {
     fencing: u64,
     looked_at: Duration,
+    /// The digest of the servers that were there then.
+    servers: u64,
     services: Vec<ServiceState>,
 }
 
@@ -93,10 +95,12 @@
     if orders.fencing != token.fencing {
         orders.begin(token.fencing);
     }
-    if now.saturating_sub(orders.looked_at) < LOOK_INTERVAL {
+    let digest = node.servers.digest();
+    if now.saturating_sub(orders.looked_at) < LOOK_INTERVAL && orders.servers == digest {
         return Ok(());
     }
     orders.looked_at = now;
+    orders.servers = digest;
     let since_start = now.saturating_sub(node.started_at);
     let all_registered = since_start >= node.settings.server_heartbeat * REGISTRATION_HEARTBEATS;
     let table = node.declared.table();
--- a/crates/fl-forward/src/servers/feed.rs
+++ b/crates/fl-forward/src/servers/feed.rs
@@ -92,6 +92,9 @@
         };
         node.log.write(&ServerChanged { server, change, revision });
     }
+    if !changes.is_empty() {
+        node.duty.servers_changed();
+    }
     let usable = node.servers.usable();
     node.channels.sweep(|address| usable.iter().any(|entry| entry.address == address));
 }
