Hold connections to the limits in force at each request

Cause: a connection kept the limits of the version under which it was opened, or the defaults where it was opened before any was known. A longer idle timeout was not granted to it, and a larger body was refused.

--- a/crates/fl-forward/src/door.rs
+++ b/crates/fl-forward/src/door.rs
@@ -50,6 +50,9 @@
     let service = service_fn(move |request| {
         clock.head_read();
         let node = service_node.clone();
+        // A connection may outlive the version that was in force when it began.
+        let limits = node.declared.table().limits;
+        clock.set_timeouts(limits.head_timeout, limits.idle_timeout);
         let on_answered = AnsweredMark(clock.clone());
         async move { Ok::<_, Infallible>(answer(node, request, limits, on_answered).await) }
     });
--- a/crates/fl-forward/src/head_clock.rs
+++ b/crates/fl-forward/src/head_clock.rs
@@ -46,6 +46,13 @@
         HeadClock { shared: Arc::new(Mutex::new(shared)) }
     }
 
+    /// Takes the timeouts of another version; they count from the next answer on.
+    pub fn set_timeouts(&self, head_timeout: Duration, idle_timeout: Duration) {
+        let mut shared = self.shared.lock();
+        shared.head_timeout = head_timeout;
+        shared.idle_timeout = idle_timeout;
+    }
+
     /// Takes word that a request's head is whole.
     pub fn head_read(&self) {
         let mut shared = self.shared.lock();
