Rank calls at model engines by what is declared and not by fixed times

Cause: urgency came from two bands of targets, 500 and 2,000 ms, which fit the deployments at hand. A deployment with targets of 800 and 1,600 ms had no urgent calls, one with 100 and 300 ms none but urgent. Now the distinct ranks and targets of all declared streams decide.

--- a/crates/fl-forward/src/admit.rs
+++ b/crates/fl-forward/src/admit.rs
@@ -28,8 +28,10 @@
     pub service: String,
     /// The workspace of its key.
     pub workspace: Option<WorkspaceName>,
-    /// Its rank, 0 first.
-    pub priority: u8,
+    /// Its rank at model engines, 0 first.
+    pub rank: u8,
+    /// Whether model engines read its prompt before those of other calls.
+    pub is_urgent: bool,
     /// When its caller stops waiting, or the operator wants it answered.
     pub deadline: Instant,
 }
@@ -158,11 +160,14 @@
             node.peers.tell_soon();
         }
     }
+    let priority = workspace.and_then(|workspace| workspace.priority).unwrap_or(route.priority);
+    let urgencies = node.declared.urgencies();
     let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
     Ok(Admitted {
         service: choose_service(route),
         workspace: workspace.map(|workspace| workspace.name.clone()),
-        priority: workspace.and_then(|workspace| workspace.priority).unwrap_or(route.priority),
+        rank: urgencies.rank(priority, route.target),
+        is_urgent: urgencies.is_first(priority, route.target),
         deadline: received_at + patience,
         route: route.clone(),
     })
--- a/crates/fl-forward/src/attempt.rs
+++ b/crates/fl-forward/src/attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt at one backend server: choose it, send the call, read the head of its answer.
 
-use crate::admit::Admitted;
 use crate::channels::{Channel, SendError};
 use crate::drive::{Call, Progress, given_up, out_of_time};
 use crate::node::Node;
@@ -15,10 +14,6 @@
 
 /// Less time than this is not worth sending a call for.
 const LEAST_TIME: Duration = Duration::from_millis(5);
-/// Targets of first tokens that part calls of one rank by urgency at a model engine.
-const TARGET_BANDS: [Duration; 2] = [Duration::from_millis(500), Duration::from_millis(2000)];
-/// The least urgent priority of model engines.
-const LEAST_ENGINE_PRIORITY: u8 = 9;
 
 /// How one attempt failed.
 #[derive(Debug, Default)]
@@ -71,7 +66,7 @@
         return Err(Stop::Refused(out_of_time(progress)));
     }
     let model = call.head.model.as_ref();
-    let is_urgent = is_urgent(&call.admitted);
+    let is_urgent = call.admitted.is_urgent;
     let own_zone = &node.settings.zone;
     let service = &call.admitted.service;
     let chosen = node.servers.choose(service, model, is_urgent, own_zone, &progress.left_out);
@@ -153,7 +148,7 @@
             time_left: call.admitted.deadline.saturating_duration_since(Instant::now()),
             workspace: call.admitted.workspace.clone(),
             last_event_id,
-            engine_priority: call.head.model.as_ref().map(|_| engine_priority(&call.admitted)),
+            engine_priority: call.head.model.as_ref().map(|_| call.admitted.rank),
         };
         let request =
             node.ports.codec.server_request(&call.parts, &call.passed, call.body.clone(), &order);
@@ -175,21 +170,6 @@
     }
 }
 
-/// Whether a call belongs to the band whose first token is due soonest.
-fn is_urgent(admitted: &Admitted) -> bool {
-    admitted.route.target <= TARGET_BANDS[0]
-}
-
-/// Urgency at a model engine: the call's rank first, then how soon its first token is due.
-///
-/// A short question that waits behind the reading of a long prompt is late, but a long prompt hardly
-/// notices a short question.
-fn engine_priority(admitted: &Admitted) -> u8 {
-    let by_target = TARGET_BANDS.iter().filter(|band| admitted.route.target > **band).count() as u8;
-    let bands = TARGET_BANDS.len() as u8 + 1;
-    (admitted.priority.saturating_mul(bands) + by_target).min(LEAST_ENGINE_PRIORITY)
-}
-
 async fn open(address: std::net::SocketAddr) -> Result<Channel, SendError> {
     metrics::counter!("fl_connections_opened_total").increment(1);
     Channel::open(address).await
--- a/crates/fl-forward/src/declared.rs
+++ b/crates/fl-forward/src/declared.rs
@@ -6,6 +6,7 @@
 use crate::shared_reads::reader;
 use fl_kernel::forward::{DeclaredTable, PlatformError, StoreRevision};
 use fl_protocol::forward::RouteTable;
+use fl_routing::urgency::Urgencies;
 use parking_lot::{Mutex, RwLock};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -21,6 +22,7 @@
 #[derive(Default)]
 pub struct Declared {
     table: RwLock<Arc<RouteTable>>,
+    urgencies: RwLock<Arc<Urgencies>>,
     /// When the table was last known to be the newest, on the boot clock.
     confirmed_at: Mutex<Option<Duration>>,
     /// The newest version that peers told of.
@@ -34,6 +36,11 @@
         self.table.read().clone()
     }
 
+    /// How urgent the calls of its routes are.
+    pub fn urgencies(&self) -> Arc<Urgencies> {
+        self.urgencies.read().clone()
+    }
+
     /// How long ago the version in force was known to be the newest.
     pub fn age(&self) -> Option<Duration> {
         let confirmed_at = *self.confirmed_at.lock();
@@ -58,6 +65,7 @@
         if table.version <= previous {
             return None;
         }
+        *self.urgencies.write() = Arc::new(Urgencies::of(&table));
         *current = Arc::new(table);
         Some(previous)
     }
--- a/crates/fl-routing/src/lib.rs
+++ b/crates/fl-routing/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod rendezvous;
 pub mod sent;
 pub mod servers;
+pub mod urgency;
 pub mod watch;
