Order lasting servers for the highest demand of the last boot time

Cause: lasting servers followed the demand of the last four seconds, but one that is ordered takes as long again to come. In a trough they were ordered away, and a node that read without queues believed servers to be half as fast again (111 tokens a millisecond, 64 under load).

Test: short_trough_keeps_servers (the meter had no such measure before).

--- a/crates/fl-fleet/src/demand.rs
+++ b/crates/fl-fleet/src/demand.rs
@@ -63,9 +63,11 @@
         self.needs.iter().map(|(_, need)| *need).fold(self.suggested, f64::max)
     }
 
-    /// Servers that the demand of now keeps busy.
-    pub fn now(&self) -> f64 {
-        let newest = self.needs.last().map_or(0.0, |(_, need)| *need);
-        newest.max(self.suggested)
+    /// Servers that the demand has kept busy at its highest since a server that is ordered now would
+    /// have had to be ordered: what comes and goes faster cannot be followed.
+    pub fn followable(&self, now: Duration, boot: Duration) -> f64 {
+        let since = now.saturating_sub(boot + SPAN);
+        let recent = self.needs.iter().filter(|(at, _)| *at >= since);
+        recent.map(|(_, need)| *need).fold(self.suggested, f64::max)
     }
 }
--- a/crates/fl-fleet/tests/demand.rs
+++ b/crates/fl-fleet/tests/demand.rs
@@ -44,11 +44,22 @@
     assert!(fed.needed() > 4.9, "{}", fed.needed());
 }
 
+/// A wave whose trough is shorter than a server takes to come: lasting servers stay.
 #[test]
-fn now_follows_at_once() {
+fn short_trough_keeps_servers() {
     let mut fed = Fed::default();
     fed.feed(&[[500; 8], [100; 8]].concat());
-    assert!((fed.meter.now() - 1.0).abs() < 0.01, "{}", fed.meter.now());
+    let boot = Duration::from_secs(8);
+    let needed = fed.meter.followable(fed.now, boot);
+    assert!((needed - 5.0).abs() < 0.01, "{needed}");
+}
+
+#[test]
+fn fall_is_followed_after_a_boot_time() {
+    let mut fed = Fed::default();
+    fed.feed(&[[500; 8], [100; 8]].concat());
+    let needed = fed.meter.followable(fed.now, Duration::ZERO);
+    assert!((needed - 1.0).abs() < 0.01, "{needed}");
 }
 
 #[test]
--- a/crates/fl-forward/src/duty/fleet.rs
+++ b/crates/fl-forward/src/duty/fleet.rs
@@ -115,7 +115,7 @@
         if !is_settled {
             state.meter.suggest(suggested_busy(&zones));
         }
-        let need = Need::of_busy(state.meter.highest(), state.meter.now());
+        let need = Need::of_busy(state.meter.highest(), state.meter.followable(now, facts.boot));
         let mut planned = plan(facts, &zones, need);
         if !is_settled {
             keep_present(&mut planned, &zones, !node.settings.is_first_start);
