--- a/crates/fl-fleet/src/scaling.rs
+++ b/crates/fl-fleet/src/scaling.rs
@@ -19,8 +19,9 @@
 /// Share of a server's time that reads prompts when first tokens still come in time.
 const LEAST_BUSY_SHARE: f64 = 0.6;
 /// Share of the least need that stays when the data centre with most reclaimable servers loses them;
-/// it bridges the time until others have booted.
-const BRIDGE_SHARE: f64 = 0.5;
+/// it bridges the time until others have booted. Below the busy share of the least need queues would
+/// grow all the while.
+const BRIDGE_SHARE: f64 = 0.65;
 /// Share of the lasting servers found at the start that the demand is assumed to keep busy before it
 /// was measured.
 const FIRST_BUSY_SHARE: f64 = 0.2;
