Measure the reading rate of servers over all nodes for orders

Cause: the holder of the duties judged the demand by the few long prompts that it had sent itself, so the rate moved between 60 and 89 tokens a millisecond within seconds and the orders with it.

--- a/crates/fl-forward/src/duty/fleet.rs
+++ b/crates/fl-forward/src/duty/fleet.rs
@@ -77,14 +77,26 @@
 pub fn measure(node: &Node, orders: &mut Orders) {
     let now = boot_time();
     let table = node.declared.table();
-    let rate = node.servers.read_rate();
-    let busy = |tokens_per_s: f64| rate.read_ms(tokens_per_s as u64) / MS_PER_S;
+    let read_tokens_per_s = read_rate(node) * MS_PER_S;
+    let busy = |tokens_per_s: f64| tokens_per_s / read_tokens_per_s.max(f64::MIN_POSITIVE);
     for service in table.services.iter().filter(|service| service.scaling.is_some()) {
         let total = node.servers.demand(&service.name) + node.peers.demand(&service.name);
         orders.state(&service.name).meter.take(now, total, busy);
     }
 }
 
+/// The rate at which servers read prompts, in tokens a millisecond: the mean of what all nodes
+/// observed, since one node sees few long prompts.
+fn read_rate(node: &Node) -> f64 {
+    let own = node.servers.read_rate();
+    let mut rates = node.peers.read_rates();
+    rates.extend(own.learned());
+    if rates.is_empty() {
+        return own.tokens_per_ms();
+    }
+    rates.iter().sum::<f64>() / rates.len() as f64
+}
+
 /// Orders what is needed and not there.
 pub async fn perform(
     node: &Node,
@@ -216,7 +228,7 @@
             present,
             needed_ample: need.ample,
             needed_least: need.least,
-            read_tokens_per_ms: node.servers.read_rate().tokens_per_ms(),
+            read_tokens_per_ms: read_rate(node),
             fencing: token.fencing,
             outcome: &outcome,
         });
--- a/crates/fl-forward/src/peers.rs
+++ b/crates/fl-forward/src/peers.rs
@@ -112,6 +112,13 @@
         state.peers.iter().any(|peer| !peer.is_silent && peer.report.duty_fencing.is_some())
     }
 
+    /// The rates at which servers read prompts, as the peers observed them, in tokens a millisecond.
+    pub fn read_rates(&self) -> Vec<f64> {
+        let state = self.state.lock();
+        let heard = state.peers.iter().filter(|peer| !peer.is_silent);
+        heard.filter_map(|peer| peer.report.read_rate).collect()
+    }
+
     /// Peers that were heard lately and know the store's state freshly.
     pub fn fresh(&self) -> Vec<SocketAddr> {
         let state = self.state.lock();
--- a/crates/fl-forward/src/peers/report.rs
+++ b/crates/fl-forward/src/peers/report.rs
@@ -35,6 +35,8 @@
     pub quotas: Vec<(WorkspaceName, f64, f64, bool)>,
     /// Prompt tokens sent to be read since its process started, by service.
     pub demand: Vec<(ServiceName, u64)>,
+    /// The rate at which servers read prompts, as observed there, in tokens a millisecond.
+    pub read_rate: Option<f64>,
     /// Calls that began to run, by window.
     pub usage: Vec<WindowCounts>,
 }
@@ -59,6 +61,7 @@
         loads: node.servers.own_load(),
         quotas: quotas.map(quota_entry).collect(),
         demand: node.servers.demands(),
+        read_rate: node.servers.read_rate().learned(),
         usage: node.usage.all(),
     }
 }
--- a/crates/fl-routing/src/placement.rs
+++ b/crates/fl-routing/src/placement.rs
@@ -101,6 +101,11 @@
         self.tokens_per_ms
     }
 
+    /// The rate, if any was observed.
+    pub fn learned(&self) -> Option<f64> {
+        (self.readings > 0).then_some(self.tokens_per_ms)
+    }
+
     /// The time to read tokens, in milliseconds.
     pub fn read_ms(&self, tokens: u64) -> f64 {
         tokens as f64 / self.tokens_per_ms.max(f64::MIN_POSITIVE)
