Remove the plan of VMs to buy, which the platform makes needless

The platform starts, replaces and adds the VMs of the nodes; no program ever used capacity and offers, pure functions for a cloud API that sells VMs.

--- a/crates/fl-fleet/src/lib.rs
+++ b/crates/fl-fleet/src/lib.rs
@@ -3,10 +3,8 @@
 //! Nothing here reads a clock or a socket; callers pass the time of their monotonic clock. See
 //! `docs/design/080-leases-and-fencing.md` and `docs/design/090-fleet.md`.
 
-pub mod capacity;
 pub mod demand;
 pub mod lease;
-pub mod offers;
 pub mod orders;
 pub mod placement;
 pub mod scaling;
