--- a/crates/fl-forward/src/duty/fleet.rs
+++ b/crates/fl-forward/src/duty/fleet.rs
@@ -78,8 +78,12 @@
     let now = boot_time();
     let table = node.declared.table();
     let read_tokens_per_s = read_rate(node) * MS_PER_S;
-    let busy = |tokens_per_s: f64| tokens_per_s / read_tokens_per_s.max(f64::MIN_POSITIVE);
     for service in table.services.iter().filter(|service| service.scaling.is_some()) {
+        // Long answers fill a server's places while it reads little.
+        let places = node.servers.places_filled(&service.name);
+        let busy = |tokens_per_s: f64| {
+            (tokens_per_s / read_tokens_per_s.max(f64::MIN_POSITIVE)).max(places)
+        };
         let total = node.servers.demand(&service.name) + node.peers.demand(&service.name);
         orders.state(&service.name).meter.take(now, total, busy);
     }
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -141,6 +141,18 @@
         place.map_or(0, |place| state.demand[place].1)
     }
 
+    /// Servers of a service whose places the calls under way at all nodes fill.
+    pub fn places_filled(&self, service: &str) -> f64 {
+        let now = boot_time();
+        let state = self.state.lock();
+        let of_service = state.registered.usable().filter(|entry| entry.service == service);
+        let filled = of_service.map(|entry| {
+            let in_flight = state.candidate(entry, now).pressure.in_flight;
+            f64::from(in_flight) / f64::from(entry.slots.max(1))
+        });
+        filled.sum()
+    }
+
     /// The rate at which servers read prompts.
     pub fn read_rate(&self) -> ReadRate {
         self.state.lock().rate
--- /dev/null
+++ b/crates/fl-forward/tests/places.rs
@@ -0,0 +1,40 @@
+//! How many servers the calls under way fill, for services whose time goes into long answers.
+
+#[path = "support/node.rs"]
+mod support;
+
+use fl_forward::clock::boot_time;
+use fl_forward::servers::{OwnLoad, put_in_force};
+use fl_kernel::forward::ServerList;
+use fl_protocol::forward::{ServerEntry, ServerState};
+use fl_routing::rendezvous::name_hash;
+use support::node;
+
+fn entry(name: &str, service: &str, slots: u32) -> ServerEntry {
+    ServerEntry {
+        name: name.to_string(),
+        service: service.to_string(),
+        address: ([127, 0, 0, 1], 8000).into(),
+        zone: "zone-a".to_string(),
+        slots,
+        state: ServerState::Ready,
+        reclaimable: false,
+    }
+}
+
+fn load(server: &str, in_flight: u32) -> OwnLoad {
+    OwnLoad { in_flight, ..OwnLoad::none(name_hash(server)) }
+}
+
+/// Long answers on few places: the servers are full while hardly a prompt is read.
+#[test]
+fn long_answers_fill_servers() {
+    let node = node("node");
+    let entries = vec![entry("a", "model", 4), entry("b", "model", 8), entry("c", "other", 4)];
+    put_in_force(&node, ServerList { entries, faults: Vec::new(), revision: 1 }, boot_time());
+    assert!(node.servers.places_filled("model").abs() < 0.01);
+    let mut loads = vec![load("a", 4), load("b", 4), load("c", 4)];
+    loads.sort_by_key(|load| load.server);
+    node.servers.set_peers_load(&loads);
+    assert!((node.servers.places_filled("model") - 1.5).abs() < 0.01);
+}
