--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -47,6 +47,7 @@
     StreamResumed<'_> => "stream_resumed",
     PeerChanged<'_> => "peer_changed",
     ZoneChanged<'_> => "zone_changed",
+    ReaderChanged => "reader_changed",
     LeaseChanged<'_> => "lease_changed",
     UsageReported<'_> => "usage_reported",
     DutyFailed<'_> => "duty_failed",
@@ -174,6 +175,17 @@
     pub silent_ms: u64,
 }
 
+/// This node begins to ask another peer what the store says, or to read it itself.
+#[derive(Debug, Serialize)]
+pub struct ReaderChanged {
+    /// The peer that it asks; none if it reads the store itself.
+    pub reader: Option<std::net::SocketAddr>,
+    /// How old its list of servers is.
+    pub registry_age_ms: Option<u64>,
+    /// How old its knowledge of what is declared is.
+    pub table_age_ms: Option<u64>,
+}
+
 /// A data centre seems cut off from this node, or is heard again.
 #[derive(Debug, Serialize)]
 pub struct ZoneChanged<'a> {
--- a/crates/fl-forward/src/log/event/duty.rs
+++ b/crates/fl-forward/src/log/event/duty.rs
@@ -50,9 +50,9 @@
     pub present: u32,
     /// Servers that the highest demand of the last while asks for.
     pub needed_ample: f64,
-    /// Servers that the demand of now asks for at least.
+    /// Servers that the highest demand of the last boot time asks for at least.
     pub needed_least: f64,
-    /// The rate at which one server reads prompts, as learned.
+    /// The rate at which one server reads prompts, as all nodes observed it.
     pub read_tokens_per_ms: f64,
     /// The fencing number.
     pub fencing: u64,
--- a/crates/fl-forward/src/metrics_page.rs
+++ b/crates/fl-forward/src/metrics_page.rs
@@ -61,6 +61,15 @@
 fn gauges(node: &Node) {
     let table_age = node.declared.age().map_or(f64::INFINITY, |age| age.as_secs_f64());
     metrics::gauge!("fl_table_age_seconds").set(table_age);
+    let registry_age = node.servers.age().map_or(f64::INFINITY, |age| age.as_secs_f64());
+    metrics::gauge!("fl_registry_age_seconds").set(registry_age);
+    for quota in node.quotas.reports() {
+        let labels = [("workspace", quota.workspace)];
+        metrics::gauge!("fl_quota_level", &labels).set(quota.report.level);
+    }
+    for (service, left) in node.repeats.left() {
+        metrics::gauge!("fl_repeats_left", "service" => service).set(left);
+    }
     metrics::gauge!("fl_table_version").set(node.declared.table().version as f64);
     metrics::gauge!("fl_servers_usable").set(node.servers.usable().len() as f64);
     metrics::gauge!("fl_nodes").set(node.peers.nodes() as f64);
--- a/crates/fl-forward/src/repeats.rs
+++ b/crates/fl-forward/src/repeats.rs
@@ -1,5 +1,6 @@
 //! Budgets of repeats by service.
 
+use crate::clock::boot_time;
 use fl_kernel::forward::ForwardBounds;
 use fl_limits::RepeatWindow;
 use parking_lot::Mutex;
@@ -24,6 +25,13 @@
         }
     }
 
+    /// Repeats that this node has left, by service.
+    pub fn left(&self) -> Vec<(String, f64)> {
+        let now = boot_time();
+        let mut windows = self.windows.lock();
+        windows.iter_mut().map(|(service, window)| (service.clone(), window.left(now))).collect()
+    }
+
     /// Acts on the budget of a service, of which each of the nodes has its part.
     pub fn with<T>(
         &self,
--- a/crates/fl-forward/src/shared_reads.rs
+++ b/crates/fl-forward/src/shared_reads.rs
@@ -7,6 +7,7 @@
 //! in `fl_routing::readers`; see `docs/design/100-on-the-platform.md`.
 
 use crate::clock::boot_time;
+use crate::log::event::ReaderChanged;
 use crate::node::Node;
 use crate::peers::Datagram;
 use crate::servers::put_in_force;
@@ -112,8 +113,14 @@
 
 /// Asks the reader again and again, until the node ends.
 pub async fn ask(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    let mut asked = None;
     loop {
-        if let Some(reader) = reader(&node) {
+        let chosen = reader(&node);
+        if chosen != asked {
+            asked = chosen;
+            note_change(&node, chosen);
+        }
+        if let Some(reader) = chosen {
             let asked_us = boot_time().as_micros() as u64;
             let question = Question { asked_us, registry: node.servers.digest() };
             Datagram::Question(question).send(&socket, reader);
@@ -126,6 +133,15 @@
     }
 }
 
+fn note_change(node: &Node, reader: Option<SocketAddr>) {
+    let millis = |age: Option<Duration>| age.map(|age| age.as_millis() as u64);
+    node.log.write(&ReaderChanged {
+        reader,
+        registry_age_ms: millis(node.servers.age()),
+        table_age_ms: millis(node.declared.age()),
+    });
+}
+
 /// Tells what this node knows.
 pub fn answer(node: &Node, question: Question) -> Told {
     let age_us = |age: Option<Duration>| age.map(|age| age.as_micros() as u64);
