--- a/crates/fl-forward/tests/places.rs
+++ b/crates/fl-forward/tests/places.rs
@@ -6,21 +6,8 @@
 use fl_forward::clock::boot_time;
 use fl_forward::servers::{OwnLoad, put_in_force};
 use fl_kernel::forward::ServerList;
-use fl_protocol::forward::{ServerEntry, ServerState};
 use fl_routing::rendezvous::name_hash;
-use support::node;
-
-fn entry(name: &str, service: &str, slots: u32) -> ServerEntry {
-    ServerEntry {
-        name: name.to_string(),
-        service: service.to_string(),
-        address: ([127, 0, 0, 1], 8000).into(),
-        zone: "zone-a".to_string(),
-        slots,
-        state: ServerState::Ready,
-        reclaimable: false,
-    }
-}
+use support::{entry, node};
 
 fn load(server: &str, in_flight: u32) -> OwnLoad {
     OwnLoad { in_flight, ..OwnLoad::none(name_hash(server)) }
--- a/crates/fl-forward/tests/shared_reads.rs
+++ b/crates/fl-forward/tests/shared_reads.rs
@@ -8,25 +8,12 @@
 use fl_forward::servers::put_in_force;
 use fl_forward::shared_reads::{Question, ReadPace, Told, answer, take};
 use fl_kernel::forward::{ForwardBounds, ServerList};
-use fl_protocol::forward::{ServerEntry, ServerState};
 use rstest::rstest;
 use std::time::Duration;
-use support::node;
-
-fn entry(name: &str) -> ServerEntry {
-    ServerEntry {
-        name: name.to_string(),
-        service: "model".to_string(),
-        address: ([127, 0, 0, 1], 8000).into(),
-        zone: "zone-a".to_string(),
-        slots: 8,
-        state: ServerState::Ready,
-        reclaimable: false,
-    }
-}
+use support::{entry, node};
 
 fn list(names: &[&str], revision: u64) -> ServerList {
-    let entries = names.iter().map(|name| entry(name)).collect();
+    let entries = names.iter().map(|name| entry(name, "model", 8)).collect();
     ServerList { entries, faults: Vec::new(), revision }
 }
 
--- a/crates/fl-forward/tests/support/node.rs
+++ b/crates/fl-forward/tests/support/node.rs
@@ -10,7 +10,7 @@
     AnswerHead, BadCall, CallCodec, DeclaredTable, ForwardBounds, ForwardSettings, PlatformError,
     PlatformStore, Refusal, SendOrder, ServerList, StoreRevision, StoredRow, WriteOutcome,
 };
-use fl_protocol::forward::CallHead;
+use fl_protocol::forward::{CallHead, ServerEntry, ServerState};
 use http::{HeaderMap, Request, request, response};
 use http_body_util::Full;
 use std::sync::Arc;
@@ -126,3 +126,16 @@
     let ports = Ports { codec: Arc::new(NoCodec), store: Arc::new(NoStore), duties: None };
     Node::new(settings(name), ports, log)
 }
+
+/// The entry of a server that takes calls.
+pub fn entry(name: &str, service: &str, slots: u32) -> ServerEntry {
+    ServerEntry {
+        name: name.to_string(),
+        service: service.to_string(),
+        address: ([127, 0, 0, 1], 8000).into(),
+        zone: "zone-a".to_string(),
+        slots,
+        state: ServerState::Ready,
+        reclaimable: false,
+    }
+}
--- a/crates/fl-kernel/src/forward.rs
+++ b/crates/fl-kernel/src/forward.rs
@@ -3,12 +3,15 @@
 //! An adapter implements them: it knows names, formats and calls, and decides nothing. See
 //! `docs/design/100-on-the-platform.md`.
 
+mod settings;
+
+pub use settings::{ForwardBounds, ForwardSettings};
+
 use async_trait::async_trait;
 use bytes::Bytes;
 use fl_protocol::forward::{CallHead, RouteTable, ServerEntry, ServerLoad, ServerName};
 use fl_protocol::{DataCenterName, FencingNumber, ServiceName, VmName, WorkspaceName};
 use http::{HeaderMap, Request, StatusCode, request, response};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Grows with each change in the platform's store.
@@ -222,83 +225,3 @@
     /// Headers of an answer of this system's own.
     fn refusal_headers(&self, id: Option<&str>, refusal: &Refusal) -> HeaderMap;
 }
-
-/// What a forwarding node is set to.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ForwardSettings {
-    /// The VM of the node.
-    pub vm: VmName,
-    /// Its data centre.
-    pub zone: DataCenterName,
-    /// All data centres, sorted.
-    pub zones: Vec<DataCenterName>,
-    /// Where callers connect.
-    pub callers: SocketAddr,
-    /// Where the balancer asks whether the node is ready.
-    pub readiness: SocketAddr,
-    /// Where peers send datagrams.
-    pub peers: SocketAddr,
-    /// Where metrics are read.
-    pub metrics: SocketAddr,
-    /// Whether the whole system starts for the first time.
-    pub is_first_start: bool,
-    /// Time between two writes of a backend server's registry entry.
-    pub server_heartbeat: Duration,
-    /// Whether the fleet reports usage.
-    pub reports_usage: bool,
-    /// Whether the fleet orders backend servers.
-    pub orders_fleet: bool,
-    /// What was promised.
-    pub bounds: ForwardBounds,
-}
-
-/// Bounds that were promised to operators and callers.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ForwardBounds {
-    /// How long a backend server that was told to leave may still get calls.
-    pub drain: Duration,
-    /// How long after it was declared a version may still not be in force.
-    pub propagation: Duration,
-    /// How long a node has after it was told to stop.
-    pub grace: Duration,
-    /// How long a key that was taken away may still be honoured.
-    pub revocation: Duration,
-    /// Repeats as a share of the calls of a service.
-    pub repeat_ratio: f64,
-    /// Over which time repeats are counted.
-    pub repeat_window: Duration,
-    /// Repeats of a service that all nodes have besides in that time.
-    pub repeat_slack: f64,
-    /// Over which time the use of quotas is counted.
-    pub quota_window: Duration,
-    /// Share of a quota by which its use may exceed it.
-    pub quota_overshoot: f64,
-    /// Units by which the use of a quota may exceed it besides.
-    pub quota_slack: f64,
-    /// How long the holder of a duty keeps it without renewing.
-    pub lease: Duration,
-    /// The length of one window of usage.
-    pub usage_window: Duration,
-    /// When the usage of a window is due after its end.
-    pub usage_delay: Duration,
-}
-
-impl Default for ForwardBounds {
-    fn default() -> Self {
-        ForwardBounds {
-            drain: Duration::from_secs(2),
-            propagation: Duration::from_secs(2),
-            grace: Duration::from_secs(8),
-            revocation: Duration::from_secs(5),
-            repeat_ratio: 0.1,
-            repeat_window: Duration::from_secs(10),
-            repeat_slack: 10.0,
-            quota_window: Duration::from_secs(8),
-            quota_overshoot: 0.0,
-            quota_slack: 0.0,
-            lease: Duration::from_secs(3),
-            usage_window: Duration::from_secs(5),
-            usage_delay: Duration::from_secs(10),
-        }
-    }
-}
