Pause between reads of the registry whose answers are older than what is known

Cause, found by reading the change: a list with an earlier revision is ignored and makes nothing fresh, and since reads follow the age of the list a store that answers from the past would have been asked without a pause, some 250 times a second and node.

--- a/crates/fl-forward/src/servers/feed.rs
+++ b/crates/fl-forward/src/servers/feed.rs
@@ -32,7 +32,8 @@
                     let away_ms = (boot_time() - since).as_millis() as u64;
                     node.log.write(&DependencyRegained { dependency: "server registry", away_ms });
                 }
-                Duration::ZERO
+                // A list that is older than what is known changes nothing and makes nothing fresh.
+                node.pace.registry_interval / 2
             }
             Err(error) => {
                 if lost_at.is_none() {
--- a/crates/fl-forward/tests/places.rs
+++ b/crates/fl-forward/tests/places.rs
@@ -7,6 +7,7 @@
 use fl_forward::servers::{OwnLoad, put_in_force};
 use fl_kernel::forward::ServerList;
 use fl_routing::rendezvous::name_hash;
+use std::sync::Arc;
 use support::{entry, node};
 
 fn load(server: &str, in_flight: u32) -> OwnLoad {
@@ -16,7 +17,7 @@
 /// Long answers on few places: the servers are full while hardly a prompt is read.
 #[test]
 fn long_answers_fill_servers() {
-    let node = node("node");
+    let node = node("node", Arc::default());
     let entries = vec![entry("a", "model", 4), entry("b", "model", 8), entry("c", "other", 4)];
     put_in_force(&node, ServerList { entries, faults: Vec::new(), revision: 1 }, boot_time());
     assert!(node.servers.places_filled("model").abs() < 0.01);
--- a/crates/fl-forward/tests/shared_reads.rs
+++ b/crates/fl-forward/tests/shared_reads.rs
@@ -9,6 +9,7 @@
 use fl_forward::shared_reads::{Question, ReadPace, Told, answer, take};
 use fl_kernel::forward::{ForwardBounds, ServerList};
 use rstest::rstest;
+use std::sync::Arc;
 use std::time::Duration;
 use support::{entry, node};
 
@@ -23,7 +24,7 @@
 
 /// A node that has just read a list.
 fn reader(names: &[&str], revision: u64) -> Node {
-    let reader = node("reader");
+    let reader = node("reader", Arc::default());
     put_in_force(&reader, list(names, revision), boot_time());
     reader
 }
@@ -41,7 +42,7 @@
 
 #[test]
 fn list_travels_once() {
-    let (asker, reader) = (node("asker"), reader(&["a", "b"], 7));
+    let (asker, reader) = (node("asker", Arc::default()), reader(&["a", "b"], 7));
     assert!(learn(&asker, &reader, Duration::ZERO).entries.is_some());
     assert_eq!(names(&asker), ["a", "b"]);
     assert!(learn(&asker, &reader, Duration::ZERO).entries.is_none(), "it is there already");
@@ -53,14 +54,14 @@
 /// An answer that was held up, or waited in a suspended node, is as old as its question.
 #[test]
 fn age_counts_the_question() {
-    let (asker, reader) = (node("asker"), reader(&["a"], 7));
+    let (asker, reader) = (node("asker", Arc::default()), reader(&["a"], 7));
     learn(&asker, &reader, Duration::from_secs(5));
     assert!(asker.servers.age().expect("an age") >= Duration::from_secs(5));
 }
 
 #[test]
 fn later_knowledge_stays() {
-    let (asker, reader) = (node("asker"), reader(&["a"], 7));
+    let (asker, reader) = (node("asker", Arc::default()), reader(&["a"], 7));
     put_in_force(&asker, list(&["b"], 9), boot_time());
     learn(&asker, &reader, Duration::ZERO);
     assert_eq!(names(&asker), ["b"], "an earlier revision changes nothing");
@@ -71,7 +72,7 @@
 
 #[test]
 fn impossible_times_ignored() {
-    let (asker, reader) = (node("asker"), reader(&["a"], 7));
+    let (asker, reader) = (node("asker", Arc::default()), reader(&["a"], 7));
     let told = answer(&reader, ask(&asker, Duration::ZERO));
     let ahead = (boot_time() + Duration::from_secs(60)).as_micros() as u64;
     take(&asker, Told { asked_us: ahead, ..told.clone() });
--- a/crates/fl-forward/tests/support/node.rs
+++ b/crates/fl-forward/tests/support/node.rs
@@ -1,4 +1,4 @@
-//! A node whose platform never answers, for tests of what it does with what peers tell.
+//! A node whose platform hardly answers, for tests of what it does with what it is told.
 
 #![allow(clippy::expect_used)]
 
@@ -14,6 +14,7 @@
 use http::{HeaderMap, Request, request, response};
 use http_body_util::Full;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 struct NoCodec;
@@ -58,14 +59,48 @@
     }
 }
 
-struct NoStore;
-
 fn away<T>() -> Result<T, PlatformError> {
     Err(PlatformError::Refused("it is away".to_string()))
 }
 
+/// Settings of one node of a data centre.
+pub fn settings(name: &str) -> ForwardSettings {
+    let address = ([127, 0, 0, 1], 0).into();
+    ForwardSettings {
+        vm: name.to_string(),
+        zone: "zone-a".to_string(),
+        zones: vec!["zone-a".to_string()],
+        callers: address,
+        readiness: address,
+        peers: ([127, 0, 0, 1], 7500).into(),
+        metrics: address,
+        is_first_start: true,
+        server_heartbeat: Duration::from_millis(1200),
+        reports_usage: false,
+        orders_fleet: false,
+        bounds: ForwardBounds::default(),
+    }
+}
+
+/// A node that knows nothing yet, with a store.
+pub fn node(name: &str, store: Arc<StubStore>) -> Node {
+    let log = Log::to_stdout(name, "zone-a").expect("a log");
+    let ports = Ports { codec: Arc::new(NoCodec), store, duties: None };
+    Node::new(settings(name), ports, log)
+}
+
+/// A store that answers with one list of servers whatever happened since, counts how often, and does
+/// nothing else.
+#[derive(Default)]
+pub struct StubStore {
+    /// The list.
+    pub list: ServerList,
+    /// Reads so far.
+    pub reads: AtomicUsize,
+}
+
 #[async_trait]
-impl PlatformStore for NoStore {
+impl PlatformStore for StubStore {
     async fn declared(&self) -> Result<DeclaredTable, PlatformError> {
         away()
     }
@@ -79,7 +114,8 @@
     }
 
     async fn servers(&self) -> Result<ServerList, PlatformError> {
-        away()
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        Ok(self.list.clone())
     }
 
     async fn rows(&self, _: &str) -> Result<Vec<StoredRow>, PlatformError> {
@@ -101,32 +137,6 @@
     }
 }
 
-/// Settings of one node of a data centre.
-pub fn settings(name: &str) -> ForwardSettings {
-    let address = ([127, 0, 0, 1], 0).into();
-    ForwardSettings {
-        vm: name.to_string(),
-        zone: "zone-a".to_string(),
-        zones: vec!["zone-a".to_string()],
-        callers: address,
-        readiness: address,
-        peers: ([127, 0, 0, 1], 7500).into(),
-        metrics: address,
-        is_first_start: true,
-        server_heartbeat: Duration::from_millis(1200),
-        reports_usage: false,
-        orders_fleet: false,
-        bounds: ForwardBounds::default(),
-    }
-}
-
-/// A node that knows nothing yet.
-pub fn node(name: &str) -> Node {
-    let log = Log::to_stdout(name, "zone-a").expect("a log");
-    let ports = Ports { codec: Arc::new(NoCodec), store: Arc::new(NoStore), duties: None };
-    Node::new(settings(name), ports, log)
-}
-
 /// The entry of a server that takes calls.
 pub fn entry(name: &str, service: &str, slots: u32) -> ServerEntry {
     ServerEntry {
