Log each failed and each restarted read of the route table, and how long a read took

What on-call engineers could not see: a node that fails to read the route table logged its first failure only, and nothing said how long the read of a version took or that a read was abandoned for a newer version.

Now table_read_failed has read_ms and the failures in a row, table_read_restarted the version that a peer reported, and table_in_force has read_ms.

--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -37,6 +37,8 @@
     DependencyLost<'_> => "dependency_lost",
     DependencyRegained<'_> => "dependency_regained",
     TableInForce => "table_in_force",
+    TableReadFailed => "table_read_failed",
+    TableReadRestarted => "table_read_restarted",
     TableUnreadable<'_> => "table_unreadable",
     ServerChanged<'_> => "server_changed",
     ServerEntryUnreadable<'_> => "server_entry_unreadable",
@@ -133,6 +135,28 @@
     pub workspaces: usize,
     /// Number of API keys in the table.
     pub keys: usize,
+    /// Duration of the read that brought the version, including the wait for a change.
+    pub read_ms: u64,
+}
+
+/// A read of the route table failed and is repeated after a pause.
+#[derive(Debug, Serialize)]
+pub struct TableReadFailed {
+    /// Time since the read, or the wait before it, began.
+    pub read_ms: u64,
+    /// Number of failed reads in a row, this one included.
+    pub failures: u32,
+    /// What failed.
+    pub error: String,
+}
+
+/// A read of the route table was abandoned, since a peer reported a newer version.
+#[derive(Debug, Serialize)]
+pub struct TableReadRestarted {
+    /// Time since the read, or the wait before it, began.
+    pub read_ms: u64,
+    /// The version that the peer reported.
+    pub reported_version: u64,
 }
 
 /// A route table version cannot be read; the last readable one stays in force.
--- a/crates/fl-forward/src/route_table.rs
+++ b/crates/fl-forward/src/route_table.rs
@@ -1,7 +1,10 @@
 //! The route table in force at this node and when it was last known to be the newest.
 
 use crate::clock::boot_time;
-use crate::log::event::{DependencyLost, DependencyRegained, TableInForce, TableUnreadable};
+use crate::log::event::{
+    DependencyLost, DependencyRegained, TableInForce, TableReadFailed, TableReadRestarted,
+    TableUnreadable,
+};
 use crate::node::Node;
 use crate::shared_reads::chosen_reader;
 use fl_kernel::forward::{PlatformError, RouteTableRead, StoreRevision};
@@ -89,11 +92,14 @@
 pub async fn watch(node: Arc<Node>) {
     let mut revision: Option<StoreRevision> = None;
     let mut failing_since: Option<Duration> = None;
+    let mut failures = 0;
     loop {
+        let started_at = boot_time();
         let result = tokio::select! {
             () = node.cancel.cancelled() => return,
             () = node.route_table.newer_version_reported.notified() => {
                 revision = None;
+                log_restart(&node, started_at);
                 continue;
             }
             result = read_when_due(&node, revision) => result,
@@ -102,8 +108,9 @@
         match result {
             Ok(next) => {
                 revision = Some(next);
+                failures = 0;
                 if let Some(since) = failing_since.take() {
-                    let away_ms = (boot_time() - since).as_millis() as u64;
+                    let away_ms = millis_since(since);
                     node.log.write(&DependencyRegained { dependency: "operators' table", away_ms });
                 }
                 continue;
@@ -113,9 +120,12 @@
                 continue;
             }
             Err(error) => {
+                failures += 1;
+                let error = error.to_string();
+                let read_ms = millis_since(started_at);
+                node.log.write(&TableReadFailed { read_ms, failures, error: error.clone() });
                 if failing_since.is_none() {
                     failing_since = Some(boot_time());
-                    let error = error.to_string();
                     node.log.write(&DependencyLost { dependency: "operators' table", error });
                 }
             }
@@ -126,6 +136,15 @@
     }
 }
 
+fn log_restart(node: &Node, started_at: Duration) {
+    let reported_version = node.route_table.newest_reported_version.load(Ordering::Relaxed);
+    node.log.write(&TableReadRestarted { read_ms: millis_since(started_at), reported_version });
+}
+
+fn millis_since(start: Duration) -> u64 {
+    boot_time().saturating_sub(start).as_millis() as u64
+}
+
 /// Reads the table at once if this node reads for others or knows of a newer version, otherwise
 /// when its table has become too old.
 async fn read_when_due(
@@ -155,12 +174,13 @@
             (table_read, if full_wait { sent_at + wait } else { sent_at })
         }
     };
-    apply_read(node, table_read, confirmed_at)
+    apply_read(node, table_read, sent_at, confirmed_at)
 }
 
 fn apply_read(
     node: &Node,
     table_read: RouteTableRead,
+    sent_at: Duration,
     confirmed_at: Duration,
 ) -> Result<StoreRevision, PlatformError> {
     if let Some(error) = &table_read.error {
@@ -172,7 +192,8 @@
         let (version, routes) = (table.version, table.routes.len());
         let (workspaces, keys) = (table.workspaces.len(), table.keys.len());
         if let Some(previous) = node.route_table.install(table) {
-            node.log.write(&TableInForce { version, previous, routes, workspaces, keys });
+            let read_ms = millis_since(sent_at);
+            node.log.write(&TableInForce { version, previous, routes, workspaces, keys, read_ms });
             node.apply_quotas();
         }
     }
