--- a/crates/fl-forward/tests/support/node.rs
+++ b/crates/fl-forward/tests/support/node.rs
@@ -1,5 +1,7 @@
 //! A node with a stub platform, for tests of how it handles lists and replies.
 
+// Each test file uses a part of this module.
+#![allow(dead_code)]
 #![allow(clippy::expect_used)]
 
 use async_trait::async_trait;
@@ -84,6 +86,11 @@
 
 /// Creates a node that has read nothing yet from its store.
 pub fn node(name: &str, store: Arc<StubStore>) -> Node {
+    node_with_store(name, store)
+}
+
+/// Creates a node like [`node`], with any store.
+pub fn node_with_store(name: &str, store: Arc<dyn PlatformStore>) -> Node {
     let log = Log::to_stdout(name, "zone-a").expect("a log");
     let platform = PlatformAdapters { codec: Arc::new(StubCodec), store, duties: None };
     Node::new(settings(name), platform, log)
--- a/crates/fl-platform/src/lib.rs
+++ b/crates/fl-platform/src/lib.rs
@@ -19,6 +19,7 @@
 pub use configuration_store::{ConfigurationHead, ConfigurationStore, PushError};
 pub use engine_reports::EngineReportClient;
 pub use http::{ConnectionReuse, HttpClient, HttpError};
+pub use object_store::{ObjectError, ObjectStoreClient};
 pub use service::{ServiceClient, ServiceError};
 pub use table::TableClient;
 pub use vm_list::VmListClient;
--- a/crates/fl-platform/tests/configuration_store.rs
+++ b/crates/fl-platform/tests/configuration_store.rs
@@ -2,7 +2,8 @@
 
 #![allow(clippy::unwrap_used)]
 
-use fl_platform::{ConfigurationStore, PushError};
+use bytes::Bytes;
+use fl_platform::{ConfigurationStore, ObjectStoreClient, PushError};
 use fl_protocol::Configuration;
 use fl_standins::{
     ObjectStore, ObjectStoreFaults, ObjectStoreHandle, Outage, TableService, TableServiceFaults,
@@ -155,3 +156,16 @@
         assert_eq!(loser, Err(expected));
     }
 }
+
+/// Guards against a read of a large body that is abandoned while its bytes still arrive, so that no
+/// reader on a slow link ever gets it.
+#[tokio::test]
+async fn large_body_on_slow_link() {
+    let platform = Platform::start().await;
+    let large = Bytes::from(vec![b'x'; 100_000]);
+    let client = ObjectStoreClient::new(platform.objects.address(), TIMEOUT);
+    let digest = client.put(large.clone()).await.unwrap();
+    let faults = ObjectStoreFaults { body_bytes_per_s: 100_000, ..ObjectStoreFaults::default() };
+    platform.objects.set_faults(faults);
+    assert!(client.get(&digest).await.is_ok_and(|body| body == large));
+}
--- a/crates/fl-standins/src/lib.rs
+++ b/crates/fl-standins/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod object_store;
 pub mod plain_service;
 mod silenceable_stream;
+pub mod slow_body;
 pub mod table_service;
 pub mod weight_store;
 
--- a/crates/fl-standins/src/object_store.rs
+++ b/crates/fl-standins/src/object_store.rs
@@ -3,6 +3,7 @@
 use crate::faults::{FaultSwitches, Outage, consume_one};
 use crate::http_server::{ConnectionId, HttpServer, RequestHandler};
 use crate::http_util::*;
+use crate::slow_body::limit_rate;
 use bytes::Bytes;
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
@@ -24,6 +25,8 @@
     pub outage: Outage,
     /// Delay before each request takes effect, in milliseconds.
     pub slow_ms: u64,
+    /// Rate at which the body of each response is sent; 0 is no limit.
+    pub body_bytes_per_s: u64,
     /// How many of the next writes take effect without a response.
     pub lose_answers: u64,
 }
@@ -87,6 +90,11 @@
             return response;
         }
         delay_ms(faults.slow_ms).await;
+        let response = self.read_or_write(request).await?;
+        Ok(limit_rate(response, faults.body_bytes_per_s).await)
+    }
+
+    async fn read_or_write(&self, request: Request<Incoming>) -> HandlerResult {
         let Some(name) = request.uri().path().strip_prefix(OBJECTS_PATH).map(percent_decode) else {
             return not_found();
         };
