Read a response of the platform as long as its bytes arrive

Cause: one timeout of 800 ms covered the whole response. Class: a bound on a whole transfer whose size grows with the input. The same stood in the client for configuration bodies, VM lists and rows of the own interface, which share the HTTP client.

Change: HttpClient::fetch bounds the wait for the head and then each wait for more of the body. Calls that are of no use after a deadline (orders, conditional writes, calls to plain services) keep the bound on the whole as fetch_within. A body that stalls is abandoned after the same 800 ms as before, so a silent connection is noticed as soon as it was.

Ruled out: an overloaded store (no call turned away), the processor (3% at most), the way of the news (the first nodes have the version within 0.7 s, the others begin to read 0.1 s after the change).

--- a/crates/fl-platform/src/engine.rs
+++ b/crates/fl-platform/src/engine.rs
@@ -99,7 +99,7 @@
         let uri = format!("http://{address}/v1/streams/{stream_id}");
         let request =
             build_json_request(Method::DELETE, &uri, Bytes::new()).map_err(EngineError::Http)?;
-        self.http.fetch(request, timeout).await.map_err(EngineError::Http)?;
+        self.http.fetch_within(request, timeout).await.map_err(EngineError::Http)?;
         Ok(())
     }
 }
--- a/crates/fl-platform/src/http.rs
+++ b/crates/fl-platform/src/http.rs
@@ -1,9 +1,9 @@
 //! HTTP client that the other clients share; every call has a timeout and none is retried.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -26,6 +26,10 @@
     ConnectTimedOut(String),
     /// {0} did not answer within {1:?}; the call may have taken effect
     TimedOut(String, Duration),
+    /// {0} sent {1} bytes of its response and then nothing for {2:?}; the call may have taken effect
+    Stalled(String, usize, Duration),
+    /// the response of {0} is larger than {1} bytes, the most that is read; ask for less at once
+    TooLarge(String, usize),
     /// the connection to {0} was lost: {1}; the call may have taken effect
     ConnectionLost(String, String),
     /// {0} answered with status {1}: {2}
@@ -108,29 +112,37 @@
         }
     }
 
-    /// Sends a request and reads the whole response within `timeout`.
+    /// Sends a request and reads the whole response, however long it takes while bytes arrive.
+    ///
+    /// `timeout` bounds the wait for the head and then each wait for more of the body. A bound on
+    /// the whole would grow with the size of the response and with how slow the link is; a response
+    /// that exceeds it would be abandoned at each retry.
     pub async fn fetch(
         &self,
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<HttpResponse, HttpError> {
         let uri = request.uri().to_string();
-        let exchange = async {
-            let response = self.send(request, timeout).await?;
-            let (head, body) = response.into_parts();
-            let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-            let body = collected
-                .map_err(|error| HttpError::ConnectionLost(uri.clone(), error.to_string()))?
-                .to_bytes();
-            Ok(HttpResponse { status: head.status, headers: head.headers, body })
-        };
-        match tokio::time::timeout(timeout, exchange).await {
+        read_whole(uri, self.send(request, timeout).await?, timeout).await
+    }
+
+    /// Sends a request and reads the whole response before a deadline, for calls that are of no use
+    /// afterwards.
+    pub async fn fetch_within(
+        &self,
+        request: Request<Full<Bytes>>,
+        time_left: Duration,
+    ) -> Result<HttpResponse, HttpError> {
+        let uri = request.uri().to_string();
+        match tokio::time::timeout(time_left, self.fetch(request, time_left)).await {
             Ok(result) => result,
-            Err(_) => Err(HttpError::TimedOut(uri, timeout)),
+            Err(_) => Err(HttpError::TimedOut(uri, time_left)),
         }
     }
 
     /// Gets a JSON value; any status other than 200 is an error.
+    ///
+    /// `timeout` is that of [`HttpClient::fetch`], since lists grow with the fleet.
     pub async fn get_json<T: DeserializeOwned>(
         &self,
         uri: &str,
@@ -140,7 +152,8 @@
         read_json(uri, self.fetch(request, timeout).await?)
     }
 
-    /// Sends a JSON value and reads one back; any status other than 200 is an error.
+    /// Sends a JSON value and reads one back within `timeout`; any status other than 200 is an
+    /// error.
     pub async fn send_json<B: Serialize, T: DeserializeOwned>(
         &self,
         method: Method,
@@ -151,8 +164,34 @@
         let body = serde_json::to_vec(body)
             .map_err(|error| HttpError::Unreadable(uri.to_string(), error.to_string()))?;
         let request = build_json_request(method, uri, Bytes::from(body))?;
-        read_json(uri, self.fetch(request, timeout).await?)
+        read_json(uri, self.fetch_within(request, timeout).await?)
+    }
+}
+
+/// Reads the body of a response; `timeout` bounds each wait for more of it.
+pub async fn read_whole(
+    uri: String,
+    response: Response<Incoming>,
+    timeout: Duration,
+) -> Result<HttpResponse, HttpError> {
+    let (head, mut body) = response.into_parts();
+    let mut received = BytesMut::new();
+    loop {
+        let Ok(frame) = tokio::time::timeout(timeout, body.frame()).await else {
+            return Err(HttpError::Stalled(uri, received.len(), timeout));
+        };
+        match frame {
+            None => break,
+            Some(Err(error)) => return Err(HttpError::ConnectionLost(uri, error.to_string())),
+            Some(Ok(frame)) => {
+                received.extend_from_slice(frame.data_ref().map_or(&[], |data| data))
+            }
+        }
+        if received.len() > MAX_RESPONSE_BYTES {
+            return Err(HttpError::TooLarge(uri, MAX_RESPONSE_BYTES));
+        }
     }
+    Ok(HttpResponse { status: head.status, headers: head.headers, body: received.freeze() })
 }
 
 /// Returns whether an error or one of its sources is a timeout of the operating system.
--- a/crates/fl-platform/src/service.rs
+++ b/crates/fl-platform/src/service.rs
@@ -42,7 +42,7 @@
         timeout: Duration,
     ) -> Result<ServiceResponse, ServiceError> {
         let request = build_request(address, call).map_err(ServiceError::NotSent)?;
-        match self.http.fetch(request, timeout).await {
+        match self.http.fetch_within(request, timeout).await {
             Ok(response) => Ok(ServiceResponse {
                 status: response.status.as_u16(),
                 content_type: read_content_type(&response.headers),
