Let a read of the route table end although a newer version is reported

What callers would see: while versions follow each other faster than a large table crosses a slow link, no version comes into force at that node.

Cause: the first report of a newer version dropped the read under way and began it anew at the first byte.

Change: a report ends only a wait for which the store has not begun to respond. The store's interface returns when the response begins (RouteTableResponse), so that the two are told apart.

--- a/crates/fl-forward/tests/support/node.rs
+++ b/crates/fl-forward/tests/support/node.rs
@@ -10,7 +10,8 @@
 use fl_forward::{Node, PlatformAdapters};
 use fl_kernel::forward::{
     CallCodec, ForwardBounds, ForwardSettings, InvalidCall, PlatformError, PlatformStore, Refusal,
-    ResponseHead, RouteTableRead, SendOptions, ServerList, StoreRevision, StoredRow, WriteOutcome,
+    ResponseHead, RouteTableRead, RouteTableResponse, SendOptions, ServerList, StoreRevision,
+    StoredRow, WriteOutcome,
 };
 use fl_protocol::forward::{CallHead, ServerEntry, ServerState};
 use http::{HeaderMap, Request, request, response};
@@ -116,7 +117,7 @@
         &self,
         _: StoreRevision,
         _: Duration,
-    ) -> Result<RouteTableRead, PlatformError> {
+    ) -> Result<RouteTableResponse, PlatformError> {
         refuse()
     }
 
--- a/crates/fl-kernel/src/forward.rs
+++ b/crates/fl-kernel/src/forward.rs
@@ -12,6 +12,7 @@
 use fl_protocol::forward::{CallHead, ReportedLoad, RouteTable, ServerEntry, ServerName};
 use fl_protocol::{DataCenterName, FencingToken, ServiceName, VmName, WorkspaceName};
 use http::{HeaderMap, Request, StatusCode, request, response};
+use std::pin::Pin;
 use std::time::Duration;
 
 /// Revision of the platform's store; grows with each write to any row.
@@ -63,6 +64,12 @@
     pub revision: StoreRevision,
 }
 
+/// A response of the store that has begun; reading it to its end gives the route table.
+///
+/// Its bytes may take seconds on a slow link. It ends with an error if they stop arriving.
+pub type RouteTableResponse =
+    Pin<Box<dyn Future<Output = Result<RouteTableRead, PlatformError>> + Send>>;
+
 /// Registry of backend servers at one revision.
 #[derive(Debug, Clone, Default)]
 pub struct ServerList {
@@ -81,12 +88,13 @@
 pub trait PlatformStore: Send + Sync {
     /// Reads the operators' whole document.
     async fn read_route_table(&self) -> Result<RouteTableRead, PlatformError>;
-    /// Waits up to `wait` for a change of the operators' document after a revision.
+    /// Waits up to `wait` for a change of the operators' document after a revision, and returns when
+    /// the store begins to respond.
     async fn wait_for_route_table(
         &self,
         revision: StoreRevision,
         wait: Duration,
-    ) -> Result<RouteTableRead, PlatformError>;
+    ) -> Result<RouteTableResponse, PlatformError>;
     /// Reads the registry of backend servers.
     async fn read_servers(&self) -> Result<ServerList, PlatformError>;
     /// Reads all rows of a table of this system, sorted by key.
