Log the rate limits that backend servers name

What on-call engineers could not see: a server in need names in its responses how many calls a second it takes from all nodes together.

Now the adapter decodes the limit, server_limit_changed is logged when a response changes it, and fl_servers_limited counts the servers that name one. The field is not passed on to callers, like the reported load. Nothing is decided by it yet.

--- a/crates/fl-forward/src/attempt.rs
+++ b/crates/fl-forward/src/attempt.rs
@@ -3,7 +3,7 @@
 use crate::connection_pool::{Connection, SendError};
 use crate::forwarding::{Call, Progress, refuse_expired, refuse_failed};
 use crate::node::Node;
-use crate::servers::{ChosenServer, InFlightCall};
+use crate::servers::{ChosenServer, InFlightCall, note_limit};
 use fl_kernel::forward::{Refusal, ResponseHead, SendOptions};
 use fl_protocol::forward::ServerName;
 use http::Response;
@@ -168,6 +168,9 @@
                 let (parts, body) = response.into_parts();
                 let head = node.platform.codec.parse_response(&call.head.id, &parts);
                 connection.set_keep_alive(head.keep_alive);
+                if head.matches_call && !head.is_misdirected {
+                    note_limit(node, &chosen.entry.name, head.limit_per_s);
+                }
                 return Ok((connection, head, Response::from_parts(parts, body)));
             }
             // A pooled connection that closed before a byte was written says nothing about the
--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -42,6 +42,7 @@
     TableUnreadable<'_> => "table_unreadable",
     ServerChanged<'_> => "server_changed",
     ServerEntryUnreadable<'_> => "server_entry_unreadable",
+    ServerLimitChanged<'_> => "server_limit_changed",
     CallRefused<'_> => "call_refused",
     QuotaShort<'_> => "quota_short",
     AttemptFailed<'_> => "attempt_failed",
@@ -188,6 +189,15 @@
     pub fault: &'a str,
 }
 
+/// A backend server named a rate limit, changed it, or no longer names one.
+#[derive(Debug, Serialize)]
+pub struct ServerLimitChanged<'a> {
+    /// The server.
+    pub server: &'a str,
+    /// The limit in calls per second from all nodes together; `null` if it has ended.
+    pub limit_per_s: Option<f64>,
+}
+
 /// A peer's reports began, stopped or resumed.
 #[derive(Debug, Serialize)]
 pub struct PeerChanged<'a> {
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -1,9 +1,11 @@
 //! The backend servers that this node knows, with estimates of their load and their recent
 //! failures.
 
+mod limits;
 mod load;
 mod registry;
 
+pub use limits::note_limit;
 pub use load::{InFlightCall, InFlightLoad};
 pub use registry::{apply_list, watch};
 
@@ -59,6 +61,8 @@
     own: InFlightLoad,
     /// The peers' calls in flight at the server, from their last reports.
     peers: InFlightLoad,
+    /// The limit that its last response named, in calls per second from all nodes together.
+    limit_per_s: Option<f64>,
     /// Raised by failures; it decays from the value at `failure_score_at`.
     failure_score: f64,
     failure_score_at: Duration,
@@ -258,6 +262,7 @@
             name: name.to_string(),
             own: InFlightLoad::idle(name_hash(name)),
             peers: InFlightLoad::idle(name_hash(name)),
+            limit_per_s: None,
             failure_score: 0.0,
             failure_score_at: Duration::ZERO,
         }
--- a/crates/fl-forward/tests/support/node.rs
+++ b/crates/fl-forward/tests/support/node.rs
@@ -49,6 +49,7 @@
             is_misdirected: false,
             is_signed: false,
             load: None,
+            limit_per_s: None,
             keep_alive: None,
         }
     }
--- a/crates/fl-kernel/src/forward.rs
+++ b/crates/fl-kernel/src/forward.rs
@@ -186,7 +186,7 @@
 }
 
 /// Parsed head of a backend server's response.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ResponseHead {
     /// HTTP status.
     pub status: StatusCode,
@@ -200,6 +200,9 @@
     pub is_signed: bool,
     /// Load that the server reports.
     pub load: Option<ReportedLoad>,
+    /// Calls per second that the server takes from all nodes together, if it names a limit. The
+    /// limit ends with the first response that does not name it.
+    pub limit_per_s: Option<f64>,
     /// Time for which the server keeps the idle connection open, if it says so.
     pub keep_alive: Option<Duration>,
 }
