Keep to the rate limits that backend servers name, over all nodes

Cause: no node read the limit, so each chose the server by its load as any other. Class: a word of a back end that binds all nodes together and that no node hears.

Change: a pure module, fl_limits::named_limit, holds what responses said of one server's limit and this node's part of it. Three nodes and one and a half for each call a second share a limit, chosen by rendezvous hashing among those that admit calls; each saves up one call at most, so that in any 4 s the sharing nodes send no more than 5.5 times the limit and 3 calls, of 6 times the limit and 5 that are allowed. The other nodes send nothing. A node that hears a limit, or that it has ended, tells its peers at once, with the age of the response; the newest response wins, and a limit that only peers know of ends 10 s after their last report. The message is one of its own, so that nodes of the build before still understand the reports. A call that only limited servers could take is refused at once with a reason of its own.

Ruled out: repeats (each call was sent once), limited servers attracting calls (25 and 17 in 4 s beside a mean of 20).

--- a/crates/fl-forward/src/attempt.rs
+++ b/crates/fl-forward/src/attempt.rs
@@ -3,7 +3,7 @@
 use crate::connection_pool::{Connection, SendError};
 use crate::forwarding::{Call, Progress, refuse_expired, refuse_failed};
 use crate::node::Node;
-use crate::servers::{ChosenServer, InFlightCall, note_limit};
+use crate::servers::{ChosenServer, InFlightCall, NoServer, note_limit};
 use fl_kernel::forward::{Refusal, ResponseHead, SendOptions};
 use fl_protocol::forward::ServerName;
 use http::Response;
@@ -73,12 +73,13 @@
     let service = &call.admission.service;
     let chosen =
         node.servers.choose(service, model, is_urgent, own_zone, &progress.excluded_servers);
-    let Some(chosen) = chosen else {
-        return Err(AttemptError::Refused(refuse_failed(
-            progress,
-            "no backend server can take the call",
-        )));
-    };
+    let chosen = chosen.map_err(|no_server| {
+        let reason = match no_server {
+            NoServer::NoneUsable => "no backend server can take the call",
+            NoServer::AllLimited => "the backend servers are at the limits they named",
+        };
+        AttemptError::Refused(refuse_failed(progress, reason))
+    })?;
     let in_flight = InFlightCall::begin(node, &chosen, is_urgent);
     let sent_at = Instant::now();
     let sending = send(node, call, &chosen, last_event_id);
--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -196,6 +196,8 @@
     pub server: &'a str,
     /// The limit in calls per second from all nodes together; `null` if it has ended.
     pub limit_per_s: Option<f64>,
+    /// How this node knows: `response` or `peer`.
+    pub source: &'a str,
 }
 
 /// A peer's reports began, stopped or resumed.
--- a/crates/fl-forward/src/peers.rs
+++ b/crates/fl-forward/src/peers.rs
@@ -15,11 +15,12 @@
 use report::{demand_added, instance_id};
 
 use crate::clock::boot_time;
-use crate::servers::InFlightLoad;
+use crate::servers::{AdmittingNodes, InFlightLoad};
 use crate::usage::{WindowCounts, add_count};
 use fl_kernel::clock::unix_ms;
 use fl_kernel::forward::ForwardSettings;
 use fl_protocol::{ServiceName, VmName};
+use fl_routing::rendezvous::name_hash;
 use fl_routing::zone_reachability::LastContact;
 use parking_lot::Mutex;
 use std::net::SocketAddr;
@@ -52,6 +53,8 @@
 #[derive(Debug, Clone)]
 struct Peer {
     address: SocketAddr,
+    /// The hash of the address, by which nodes are ranked for the limits of servers.
+    address_hash: u64,
     reported_at: Option<Duration>,
     is_silent: bool,
     report: PeerReport,
@@ -96,6 +99,17 @@
         1 + state.peers.iter().filter(|peer| peer.may_admit(now)).count()
     }
 
+    /// Returns the nodes that may admit calls, by the hashes of their addresses.
+    fn admitting_hashes(&self) -> AdmittingNodes {
+        let now = boot_time();
+        let state = self.state.lock();
+        let admitting = state.peers.iter().filter(|peer| peer.may_admit(now));
+        AdmittingNodes {
+            own: name_hash(&self.own_address.to_string()),
+            peers: admitting.map(|peer| peer.address_hash).collect(),
+        }
+    }
+
     /// Returns the usage counts of all peers.
     pub fn usage(&self) -> Vec<Vec<WindowCounts>> {
         let state = self.state.lock();
@@ -267,6 +281,7 @@
     fn new(address: SocketAddr) -> Self {
         Peer {
             address,
+            address_hash: name_hash(&address.to_string()),
             reported_at: None,
             is_silent: true,
             report: PeerReport::default(),
--- a/crates/fl-forward/src/peers/exchange.rs
+++ b/crates/fl-forward/src/peers/exchange.rs
@@ -4,6 +4,7 @@
 use crate::admission::WorkspaceQuotaReport;
 use crate::log::event::{PeerChanged, ZoneChanged};
 use crate::node::Node;
+use crate::servers::{ReportedLimit, apply_reported_limits};
 use crate::shared_reads::{self, StoreQuery, StoreReply};
 use fl_limits::QuotaReport;
 use fl_routing::zone_reachability::unreachable_zones;
@@ -24,6 +25,9 @@
     Query(StoreQuery),
     /// The reply to such a query.
     Reply(StoreReply),
+    /// The limits that backend servers named to the sending node. A message of its own, so that
+    /// nodes of an earlier build still understand the reports.
+    Limits(Vec<ReportedLimit>),
 }
 
 impl Datagram {
@@ -43,15 +47,14 @@
             node.log.write(&PeerChanged { peer: &peer, change: "silent", silent_ms });
         }
         node.servers.set_peer_loads(&node.peers.summed_loads());
+        node.servers.set_admitting_nodes(node.peers.admitting_hashes());
         update_unreachable_zones(&node);
         let instance_ids = node.peers.instance_ids();
         node.quotas.retain_peers(|peer| instance_ids.contains(&peer));
-        let report = Datagram::Report(Box::new(build_report(&node)));
-        if let Ok(bytes) = postcard::to_stdvec(&report) {
-            for address in node.peers.addresses() {
-                // The next report makes up for a datagram that cannot be sent.
-                let _ = socket.try_send_to(&bytes, address);
-            }
+        send_to_peers(&node, &socket, &Datagram::Report(Box::new(build_report(&node))));
+        let limits = node.servers.limits_to_report();
+        if !limits.is_empty() {
+            send_to_peers(&node, &socket, &Datagram::Limits(limits));
         }
         if node.sleep(node.peers.urgent_interval()).await.is_none() {
             return;
@@ -65,6 +68,14 @@
     }
 }
 
+fn send_to_peers(node: &Node, socket: &UdpSocket, datagram: &Datagram) {
+    let Ok(bytes) = postcard::to_stdvec(datagram) else { return };
+    for address in node.peers.addresses() {
+        // The next report makes up for a datagram that cannot be sent.
+        let _ = socket.try_send_to(&bytes, address);
+    }
+}
+
 fn update_unreachable_zones(node: &Node) {
     let zones =
         unreachable_zones(&node.peers.report_ages(), &node.settings.zone, node.peers.interval());
@@ -86,6 +97,7 @@
                 Datagram::Reply(reply).send(&socket, from);
             }
             Ok(Datagram::Reply(reply)) => shared_reads::apply_reply(&node, reply),
+            Ok(Datagram::Limits(limits)) => apply_reported_limits(&node, &limits),
             Err(_) => metrics::counter!("fl_peer_reports_unreadable_total").increment(1),
         }
     }
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -5,12 +5,13 @@
 mod load;
 mod registry;
 
-pub use limits::note_limit;
+pub use limits::{AdmittingNodes, ReportedLimit, apply_reported_limits, note_limit};
 pub use load::{InFlightCall, InFlightLoad};
 pub use registry::{apply_list, watch};
 
 use crate::clock::boot_time;
 use fl_kernel::forward::ServerList;
+use fl_limits::NamedLimit;
 use fl_protocol::forward::{ModelCall, ServerEntry, ServerName};
 use fl_protocol::{DataCenterName, ServiceName};
 use fl_routing::placement::{
@@ -50,6 +51,8 @@
     unreachable_zones: Vec<DataCenterName>,
     /// Prompt tokens that this node sent for prefill, by service. Sorted by service.
     demand: Vec<(ServiceName, u64)>,
+    /// The nodes that may share the limits which servers name.
+    admitting_nodes: AdmittingNodes,
     /// Names of the entries that could not be read in the last list.
     invalid_entries: Vec<String>,
 }
@@ -61,13 +64,22 @@
     own: InFlightLoad,
     /// The peers' calls in flight at the server, from their last reports.
     peers: InFlightLoad,
-    /// The limit that its last response named, in calls per second from all nodes together.
-    limit_per_s: Option<f64>,
+    /// The rate limit that the server names.
+    limit: NamedLimit,
     /// Raised by failures; it decays from the value at `failure_score_at`.
     failure_score: f64,
     failure_score_at: Duration,
 }
 
+/// Why no server can take a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoServer {
+    /// No server of the service is usable, or the call has been to all of them.
+    NoneUsable,
+    /// The limits that the servers named leave no room for a call of this node now.
+    AllLimited,
+}
+
 /// The server that was chosen for a call.
 #[derive(Debug, Clone)]
 pub struct ChosenServer {
@@ -82,7 +94,7 @@
 }
 
 impl Servers {
-    /// Chooses a server of a service for a call; `None` if all are excluded or none is usable.
+    /// Chooses a server of a service for a call, and counts the call on the server's limit.
     pub fn choose(
         &self,
         service: &str,
@@ -90,25 +102,29 @@
         is_urgent: bool,
         own_zone: &str,
         excluded_servers: &[ServerName],
-    ) -> Option<ChosenServer> {
+    ) -> Result<ChosenServer, NoServer> {
         let now = boot_time();
-        let state = self.state.lock();
-        let candidates: Vec<Candidate> = state
+        let mut state = self.state.lock();
+        let mut usable = state
             .registered
             .usable()
             .filter(|entry| entry.service == service && !excluded_servers.contains(&entry.name))
+            .peekable();
+        if usable.peek().is_none() {
+            return Err(NoServer::NoneUsable);
+        }
+        let candidates: Vec<Candidate> = usable
+            .filter(|entry| state.limit_permits(entry, now))
             .map(|entry| state.candidate(entry, now))
             .collect();
         let request = PlacementRequest { call, is_urgent, own_zone };
-        let placement = place(&request, &candidates, state.prefill_rate, rand::random::<f64>)?;
-        let candidate = candidates.get(placement.index)?;
+        let placement = place(&request, &candidates, state.prefill_rate, rand::random::<f64>)
+            .ok_or(NoServer::AllLimited)?;
+        let candidate = candidates[placement.index];
         let ServerLoad { in_flight, pending_prefill_tokens, .. } = candidate.load;
-        Some(ChosenServer {
-            entry: candidate.entry.clone(),
-            placement,
-            in_flight,
-            pending_prefill_tokens,
-        })
+        let entry = candidate.entry.clone();
+        state.count_limited_call(&entry.name, now);
+        Ok(ChosenServer { entry, placement, in_flight, pending_prefill_tokens })
     }
 
     /// Returns the entries of the servers that may be used.
@@ -229,8 +245,7 @@
 impl State {
     /// Returns a server with its load estimate, as placement needs it.
     fn candidate<'a>(&self, entry: &'a ServerEntry, now: Duration) -> Candidate<'a> {
-        let index = self.known.binary_search_by(|known| known.name.cmp(&entry.name));
-        let known = index.ok().map(|index| &self.known[index]);
+        let known = self.known_server(&entry.name);
         let mut load = known.map_or_else(ServerLoad::default, |known| known.load(now));
         if self.unreachable_zones.binary_search(&entry.zone).is_ok() {
             load.failure_score = load.failure_score.max(UNREACHABLE_ZONE_SCORE);
@@ -239,6 +254,11 @@
         Candidate { entry, name_hash, load }
     }
 
+    fn known_server(&self, name: &str) -> Option<&KnownServer> {
+        let index = self.known.binary_search_by(|known| known.name.as_str().cmp(name));
+        index.ok().map(|index| &self.known[index])
+    }
+
     /// Adds newly listed servers and drops those that are not listed and have no call of this node
     /// in flight.
     fn update_known(&mut self) {
@@ -262,7 +282,7 @@
             name: name.to_string(),
             own: InFlightLoad::idle(name_hash(name)),
             peers: InFlightLoad::idle(name_hash(name)),
-            limit_per_s: None,
+            limit: NamedLimit::default(),
             failure_score: 0.0,
             failure_score_at: Duration::ZERO,
         }
--- a/crates/fl-limits/src/lib.rs
+++ b/crates/fl-limits/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backoff;
 pub mod capacity_borrowing;
 pub mod fair_queue;
+pub mod named_limit;
 pub mod node_share;
 pub mod retry_budget;
 pub mod shared_quota;
@@ -16,6 +17,7 @@
 
 pub use adaptive_limit::AdaptiveLimit;
 pub use fair_queue::{FairQueue, Ticket};
+pub use named_limit::{LimitStatement, NamedLimit};
 pub use retry_budget::RetryBudget;
 pub use shared_quota::{QuotaLimit, QuotaReport, QuotaShortage, SharedQuota};
 pub use sliding_retry_budget::SlidingRetryBudget;
--- a/crates/fl-routing/src/rendezvous.rs
+++ b/crates/fl-routing/src/rendezvous.rs
@@ -18,6 +18,12 @@
     mixed ^ (mixed >> 31)
 }
 
+/// Returns whether `own` has one of the `count` highest ranks for a key among itself and `others`.
+pub fn is_among_highest(key: u64, own: u64, others: &[u64], count: usize) -> bool {
+    let own_rank = rank(key, own);
+    others.iter().filter(|other| rank(key, **other) > own_rank).count() < count
+}
+
 /// Returns the indexes of the `count` servers with the highest ranks for a key, highest first.
 pub fn highest_ranked(key: u64, servers: &[u64], count: usize) -> Vec<usize> {
     let mut best: Vec<(u64, usize)> = Vec::with_capacity(count + 1);
