Send nothing more to a server that says in a response that it leaves

Cause: the field was not read.

Change: one pure module, fl_limits::server_notices, now decides for a server's limit and its leaving whether it may be sent a call; placement asks it and nobody else. A server that leaves by its own word is out for this node at once, for its peers with the next report (the message that carries limits), whatever the registry lists, until its next instance, which the entry's time of start tells apart. The field is not passed on to callers. Entries of servers grow by the time of start, so that a node of this build and one of the build before read the store for themselves while both run.

--- a/crates/fl-forward/src/attempt.rs
+++ b/crates/fl-forward/src/attempt.rs
@@ -3,7 +3,7 @@
 use crate::connection_pool::{Connection, SendError};
 use crate::forwarding::{Call, Progress, refuse_expired, refuse_failed};
 use crate::node::Node;
-use crate::servers::{ChosenServer, InFlightCall, NoServer, note_limit};
+use crate::servers::{ChosenServer, InFlightCall, NoServer, note_response};
 use fl_kernel::forward::{Refusal, ResponseHead, SendOptions};
 use fl_protocol::forward::ServerName;
 use http::Response;
@@ -74,11 +74,10 @@
     let chosen =
         node.servers.choose(service, model, is_urgent, own_zone, &progress.excluded_servers);
     let chosen = chosen.map_err(|no_server| {
-        let reason = match no_server {
-            NoServer::NoneUsable => "no backend server can take the call",
-            NoServer::AllLimited => "the backend servers are at the limits they named",
-        };
-        AttemptError::Refused(refuse_failed(progress, reason))
+        AttemptError::Refused(match no_server {
+            NoServer::NoneUsable => refuse_failed(progress, "no backend server can take the call"),
+            NoServer::AllDenied => refuse_failed(progress, "the backend servers want no call now"),
+        })
     })?;
     let in_flight = InFlightCall::begin(node, &chosen, is_urgent);
     let sent_at = Instant::now();
@@ -170,7 +169,7 @@
                 let head = node.platform.codec.parse_response(&call.head.id, &parts);
                 connection.set_keep_alive(head.keep_alive);
                 if head.matches_call && !head.is_misdirected {
-                    note_limit(node, &chosen.entry.name, head.limit_per_s);
+                    note_response(node, &chosen.entry.name, &head.notices);
                 }
                 return Ok((connection, head, Response::from_parts(parts, body)));
             }
--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -43,6 +43,7 @@
     ServerChanged<'_> => "server_changed",
     ServerEntryUnreadable<'_> => "server_entry_unreadable",
     ServerLimitChanged<'_> => "server_limit_changed",
+    ServerLeaving<'_> => "server_leaving",
     CallRefused<'_> => "call_refused",
     QuotaShort<'_> => "quota_short",
     AttemptFailed<'_> => "attempt_failed",
@@ -200,6 +201,15 @@
     pub source: &'a str,
 }
 
+/// A backend server said in a response that it leaves, so this node sends it nothing more.
+#[derive(Debug, Serialize)]
+pub struct ServerLeaving<'a> {
+    /// The server.
+    pub server: &'a str,
+    /// How this node knows: `response` or `peer`.
+    pub source: &'a str,
+}
+
 /// A peer's reports began, stopped or resumed.
 #[derive(Debug, Serialize)]
 pub struct PeerChanged<'a> {
--- a/crates/fl-forward/src/peers/exchange.rs
+++ b/crates/fl-forward/src/peers/exchange.rs
@@ -4,7 +4,7 @@
 use crate::admission::WorkspaceQuotaReport;
 use crate::log::event::{PeerChanged, ZoneChanged};
 use crate::node::Node;
-use crate::servers::{ReportedLimit, apply_reported_limits};
+use crate::servers::{ReportedNotices, apply_reported_notices};
 use crate::shared_reads::{self, StoreQuery, StoreReply};
 use fl_limits::QuotaReport;
 use fl_routing::zone_reachability::unreachable_zones;
@@ -25,9 +25,9 @@
     Query(StoreQuery),
     /// The reply to such a query.
     Reply(StoreReply),
-    /// The limits that backend servers named to the sending node. A message of its own, so that
-    /// nodes of an earlier build still understand the reports.
-    Limits(Vec<ReportedLimit>),
+    /// What backend servers asked of all nodes in responses to the sending node. A message of its
+    /// own, so that nodes of an earlier build still understand the reports.
+    Notices(Vec<ReportedNotices>),
 }
 
 impl Datagram {
@@ -52,9 +52,9 @@
         let instance_ids = node.peers.instance_ids();
         node.quotas.retain_peers(|peer| instance_ids.contains(&peer));
         send_to_peers(&node, &socket, &Datagram::Report(Box::new(build_report(&node))));
-        let limits = node.servers.limits_to_report();
-        if !limits.is_empty() {
-            send_to_peers(&node, &socket, &Datagram::Limits(limits));
+        let notices = node.servers.notices_to_report();
+        if !notices.is_empty() {
+            send_to_peers(&node, &socket, &Datagram::Notices(notices));
         }
         if node.sleep(node.peers.urgent_interval()).await.is_none() {
             return;
@@ -97,7 +97,7 @@
                 Datagram::Reply(reply).send(&socket, from);
             }
             Ok(Datagram::Reply(reply)) => shared_reads::apply_reply(&node, reply),
-            Ok(Datagram::Limits(limits)) => apply_reported_limits(&node, &limits),
+            Ok(Datagram::Notices(notices)) => apply_reported_notices(&node, &notices),
             Err(_) => metrics::counter!("fl_peer_reports_unreadable_total").increment(1),
         }
     }
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -1,17 +1,17 @@
 //! The backend servers that this node knows, with estimates of their load and their recent
 //! failures.
 
-mod limits;
 mod load;
+mod notices;
 mod registry;
 
-pub use limits::{AdmittingNodes, ReportedLimit, apply_reported_limits, note_limit};
 pub use load::{InFlightCall, InFlightLoad};
+pub use notices::{AdmittingNodes, ReportedNotices, apply_reported_notices, note_response};
 pub use registry::{apply_list, watch};
 
 use crate::clock::boot_time;
 use fl_kernel::forward::ServerList;
-use fl_limits::NamedLimit;
+use fl_limits::ServerNotices;
 use fl_protocol::forward::{ModelCall, ServerEntry, ServerName};
 use fl_protocol::{DataCenterName, ServiceName};
 use fl_routing::placement::{
@@ -64,8 +64,10 @@
     own: InFlightLoad,
     /// The peers' calls in flight at the server, from their last reports.
     peers: InFlightLoad,
-    /// The rate limit that the server names.
-    limit: NamedLimit,
+    /// Start of its instance, in Unix milliseconds, if its entry says so.
+    born_ms: Option<u64>,
+    /// What it asked of this node in its responses.
+    notices: ServerNotices,
     /// Raised by failures; it decays from the value at `failure_score_at`.
     failure_score: f64,
     failure_score_at: Duration,
@@ -76,8 +78,8 @@
 pub enum NoServer {
     /// No server of the service is usable, or the call has been to all of them.
     NoneUsable,
-    /// The limits that the servers named leave no room for a call of this node now.
-    AllLimited,
+    /// The servers said that they want no call of this node now.
+    AllDenied,
 }
 
 /// The server that was chosen for a call.
@@ -94,7 +96,7 @@
 }
 
 impl Servers {
-    /// Chooses a server of a service for a call, and counts the call on the server's limit.
+    /// Chooses a server of a service for a call, and counts the call as sent to it.
     pub fn choose(
         &self,
         service: &str,
@@ -105,31 +107,28 @@
     ) -> Result<ChosenServer, NoServer> {
         let now = boot_time();
         let mut state = self.state.lock();
-        let mut usable = state
-            .registered
+        let usable: Vec<&ServerEntry> = state
             .usable()
             .filter(|entry| entry.service == service && !excluded_servers.contains(&entry.name))
-            .peekable();
-        if usable.peek().is_none() {
-            return Err(NoServer::NoneUsable);
-        }
+            .collect();
         let candidates: Vec<Candidate> = usable
-            .filter(|entry| state.limit_permits(entry, now))
+            .iter()
+            .filter(|entry| state.check_notices(entry, now).is_ok())
             .map(|entry| state.candidate(entry, now))
             .collect();
         let request = PlacementRequest { call, is_urgent, own_zone };
         let placement = place(&request, &candidates, state.prefill_rate, rand::random::<f64>)
-            .ok_or(NoServer::AllLimited)?;
+            .ok_or(if usable.is_empty() { NoServer::NoneUsable } else { NoServer::AllDenied })?;
         let candidate = candidates[placement.index];
         let ServerLoad { in_flight, pending_prefill_tokens, .. } = candidate.load;
         let entry = candidate.entry.clone();
-        state.count_limited_call(&entry.name, now);
+        state.count_call(&entry.name, now);
         Ok(ChosenServer { entry, placement, in_flight, pending_prefill_tokens })
     }
 
     /// Returns the entries of the servers that may be used.
     pub fn usable(&self) -> Vec<ServerEntry> {
-        self.state.lock().registered.usable().cloned().collect()
+        self.state.lock().usable().cloned().collect()
     }
 
     /// Returns whether servers are still used although their entries are missing from the newest
@@ -179,7 +178,7 @@
     pub fn occupied_servers(&self, service: &str) -> f64 {
         let now = boot_time();
         let state = self.state.lock();
-        let of_service = state.registered.usable().filter(|entry| entry.service == service);
+        let of_service = state.usable().filter(|entry| entry.service == service);
         let occupied_shares = of_service.map(|entry| {
             let in_flight = state.candidate(entry, now).load.in_flight;
             f64::from(in_flight) / f64::from(entry.slots.max(1))
@@ -269,20 +268,24 @@
                 || listed.binary_search_by(|entry| entry.name.cmp(&known.name)).is_ok()
         });
         for entry in listed {
-            if let Err(index) = self.known.binary_search_by(|known| known.name.cmp(&entry.name)) {
-                self.known.insert(index, KnownServer::new(&entry.name));
+            match self.known.binary_search_by(|known| known.name.cmp(&entry.name)) {
+                Ok(index) => self.known[index].set_instance(entry.born_ms),
+                Err(index) => {
+                    self.known.insert(index, KnownServer::new(&entry.name, entry.born_ms));
+                }
             }
         }
     }
 }
 
 impl KnownServer {
-    fn new(name: &str) -> Self {
+    fn new(name: &str, born_ms: Option<u64>) -> Self {
         KnownServer {
             name: name.to_string(),
             own: InFlightLoad::idle(name_hash(name)),
             peers: InFlightLoad::idle(name_hash(name)),
-            limit: NamedLimit::default(),
+            born_ms,
+            notices: ServerNotices::default(),
             failure_score: 0.0,
             failure_score_at: Duration::ZERO,
         }
@@ -292,6 +295,14 @@
         self.own.name_hash
     }
 
+    /// Forgets what an earlier instance of the server asked.
+    fn set_instance(&mut self, born_ms: Option<u64>) {
+        if self.born_ms != born_ms {
+            self.born_ms = born_ms;
+            self.notices = ServerNotices::default();
+        }
+    }
+
     fn load(&self, now: Duration) -> ServerLoad {
         let mut load = self.own;
         load.add(&self.peers);
--- a/crates/fl-forward/tests/support/node.rs
+++ b/crates/fl-forward/tests/support/node.rs
@@ -13,7 +13,7 @@
     ResponseHead, RouteTableRead, RouteTableResponse, SendOptions, ServerList, StoreRevision,
     StoredRow, WriteOutcome,
 };
-use fl_protocol::forward::{CallHead, ServerEntry, ServerState};
+use fl_protocol::forward::{CallHead, ResponseNotices, ServerEntry, ServerState};
 use http::{HeaderMap, Request, request, response};
 use http_body_util::Full;
 use std::sync::Arc;
@@ -49,7 +49,7 @@
             is_misdirected: false,
             is_signed: false,
             load: None,
-            limit_per_s: None,
+            notices: ResponseNotices::default(),
             keep_alive: None,
         }
     }
@@ -156,5 +156,6 @@
         slots,
         state: ServerState::Ready,
         reclaimable: false,
+        born_ms: None,
     }
 }
--- a/crates/fl-kernel/src/forward.rs
+++ b/crates/fl-kernel/src/forward.rs
@@ -9,7 +9,9 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use fl_protocol::forward::{CallHead, ReportedLoad, RouteTable, ServerEntry, ServerName};
+use fl_protocol::forward::{
+    CallHead, ReportedLoad, ResponseNotices, RouteTable, ServerEntry, ServerName,
+};
 use fl_protocol::{DataCenterName, FencingToken, ServiceName, VmName, WorkspaceName};
 use http::{HeaderMap, Request, StatusCode, request, response};
 use std::pin::Pin;
@@ -200,9 +202,8 @@
     pub is_signed: bool,
     /// Load that the server reports.
     pub load: Option<ReportedLoad>,
-    /// Calls per second that the server takes from all nodes together, if it names a limit. The
-    /// limit ends with the first response that does not name it.
-    pub limit_per_s: Option<f64>,
+    /// What the server asks of the nodes.
+    pub notices: ResponseNotices,
     /// Time for which the server keeps the idle connection open, if it says so.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/fl-protocol/src/forward.rs
+++ b/crates/fl-protocol/src/forward.rs
@@ -222,6 +222,19 @@
     pub state: ServerState,
     /// Whether the cloud may reclaim the server.
     pub reclaimable: bool,
+    /// Start of this instance of the server, in Unix milliseconds, if the entry says so. A server
+    /// may start again under its name; it then knows nothing of before.
+    pub born_ms: Option<u64>,
+}
+
+/// What a response of a backend server asks of the nodes.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ResponseNotices {
+    /// Calls per second that the server takes from all nodes together, if it names a limit. The
+    /// limit ends with the first response that does not name it.
+    pub limit_per_s: Option<f64>,
+    /// Whether the server says that it leaves.
+    pub is_leaving: bool,
 }
 
 /// Load that a backend server reports in a response.
--- a/crates/fl-routing/tests/placement.rs
+++ b/crates/fl-routing/tests/placement.rs
@@ -14,6 +14,7 @@
         slots: 32,
         state: ServerState::Ready,
         reclaimable: false,
+        born_ms: None,
     };
     (0..count).map(entry).collect()
 }
--- a/crates/fl-routing/tests/registry_view.rs
+++ b/crates/fl-routing/tests/registry_view.rs
@@ -16,6 +16,7 @@
         slots: 8,
         state,
         reclaimable: false,
+        born_ms: None,
     }
 }
 
