Leave a server alone for as long as it asks when it turns a call away

Cause: the field was read in no response of a server.

Change: server_notices keeps the pause for the server's instance. Nothing goes to the server from this node until the time is over; then one call tries first, for a second at most. A second pause extends the first and never shortens it, and a call that was under way when it began does not end it. When every server of a service denies calls, the caller is refused at once with the shortest pause as Retry-After. A value that is no number, negative or not finite asks for nothing and is logged once for each instance; one beyond an hour counts as an hour. Pauses concern the node that was asked and are not reported to peers.

--- a/crates/fl-forward/src/attempt.rs
+++ b/crates/fl-forward/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt to forward a call: chooses a server, sends the call and reads the response's head.
 
 use crate::connection_pool::{Connection, SendError};
-use crate::forwarding::{Call, Progress, refuse_expired, refuse_failed};
+use crate::forwarding::{Call, Progress, refuse_denied, refuse_expired, refuse_failed};
 use crate::node::Node;
 use crate::servers::{ChosenServer, InFlightCall, NoServer, note_response};
 use fl_kernel::forward::{Refusal, ResponseHead, SendOptions};
@@ -76,7 +76,7 @@
     let chosen = chosen.map_err(|no_server| {
         AttemptError::Refused(match no_server {
             NoServer::NoneUsable => refuse_failed(progress, "no backend server can take the call"),
-            NoServer::AllDenied => refuse_failed(progress, "the backend servers want no call now"),
+            NoServer::AllDenied(wait) => refuse_denied(progress, wait),
         })
     })?;
     let in_flight = InFlightCall::begin(node, &chosen, is_urgent);
--- a/crates/fl-forward/src/forwarding.rs
+++ b/crates/fl-forward/src/forwarding.rs
@@ -182,6 +182,14 @@
     }
 }
 
+/// Returns the refusal of a call that every server asked not to be sent now; `wait` is the shortest
+/// time until one of them wants calls again, if that is known.
+pub fn refuse_denied(progress: &Progress, wait: Option<Duration>) -> Refusal {
+    let refusal = refuse_failed(progress, "the backend servers want no call now");
+    let retry_after = refusal.retry_after.map(|usual| wait.unwrap_or(usual));
+    Refusal { retry_after, ..refusal }
+}
+
 /// Returns the refusal of a call whose deadline passed.
 ///
 /// The status is 503 only if the call certainly did not run, otherwise 504.
--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -44,6 +44,8 @@
     ServerEntryUnreadable<'_> => "server_entry_unreadable",
     ServerLimitChanged<'_> => "server_limit_changed",
     ServerLeaving<'_> => "server_leaving",
+    ServerPaused<'_> => "server_paused",
+    ServerNoticeInvalid<'_> => "server_notice_invalid",
     CallRefused<'_> => "call_refused",
     QuotaShort<'_> => "quota_short",
     AttemptFailed<'_> => "attempt_failed",
@@ -210,6 +212,23 @@
     pub source: &'a str,
 }
 
+/// A backend server asked this node to send nothing for a time.
+#[derive(Debug, Serialize)]
+pub struct ServerPaused<'a> {
+    /// The server.
+    pub server: &'a str,
+    /// The time from now.
+    pub pause_ms: u64,
+}
+
+/// A backend server named a limit or a pause with a value that cannot be used; it is ignored.
+/// Logged once for each instance of a server.
+#[derive(Debug, Serialize)]
+pub struct ServerNoticeInvalid<'a> {
+    /// The server.
+    pub server: &'a str,
+}
+
 /// A peer's reports began, stopped or resumed.
 #[derive(Debug, Serialize)]
 pub struct PeerChanged<'a> {
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::boot_time;
 use fl_kernel::forward::ServerList;
-use fl_limits::ServerNotices;
+use fl_limits::{SendDenial, ServerNotices};
 use fl_protocol::forward::{ModelCall, ServerEntry, ServerName};
 use fl_protocol::{DataCenterName, ServiceName};
 use fl_routing::placement::{
@@ -78,8 +78,9 @@
 pub enum NoServer {
     /// No server of the service is usable, or the call has been to all of them.
     NoneUsable,
-    /// The servers said that they want no call of this node now.
-    AllDenied,
+    /// The servers said that they want no call of this node now; holds the shortest time until one
+    /// of them wants calls again, if that is known.
+    AllDenied(Option<Duration>),
 }
 
 /// The server that was chosen for a call.
@@ -118,7 +119,7 @@
             .collect();
         let request = PlacementRequest { call, is_urgent, own_zone };
         let placement = place(&request, &candidates, state.prefill_rate, rand::random::<f64>)
-            .ok_or(if usable.is_empty() { NoServer::NoneUsable } else { NoServer::AllDenied })?;
+            .ok_or_else(|| state.no_server(&usable, now))?;
         let candidate = candidates[placement.index];
         let ServerLoad { in_flight, pending_prefill_tokens, .. } = candidate.load;
         let entry = candidate.entry.clone();
@@ -253,6 +254,18 @@
         Candidate { entry, name_hash, load }
     }
 
+    /// Returns why none of the usable servers of a service can be chosen.
+    fn no_server(&self, usable: &[&ServerEntry], now: Duration) -> NoServer {
+        if usable.is_empty() {
+            return NoServer::NoneUsable;
+        }
+        let pauses = usable.iter().filter_map(|entry| match self.check_notices(entry, now) {
+            Err(SendDenial::Paused(left)) => Some(left),
+            _ => None,
+        });
+        NoServer::AllDenied(pauses.min())
+    }
+
     fn known_server(&self, name: &str) -> Option<&KnownServer> {
         let index = self.known.binary_search_by(|known| known.name.as_str().cmp(name));
         index.ok().map(|index| &self.known[index])
--- a/crates/fl-forward/src/servers/notices.rs
+++ b/crates/fl-forward/src/servers/notices.rs
@@ -1,8 +1,8 @@
-//! What backend servers ask of the nodes in their responses: limits, and that they leave.
+//! What backend servers ask of the nodes in their responses: limits, pauses, and that they leave.
 
 use super::{KnownServer, Servers, State};
 use crate::clock::boot_time;
-use crate::log::event::{ServerLeaving, ServerLimitChanged};
+use crate::log::event::{ServerLeaving, ServerLimitChanged, ServerNoticeInvalid, ServerPaused};
 use crate::node::Node;
 use fl_limits::named_limit::sharing_nodes;
 use fl_limits::{LimitStatement, NoticeChanges, SendDenial};
@@ -58,6 +58,14 @@
     if changes.leaving {
         begin_leaving(node, server, FROM_RESPONSE);
     }
+    if let Some(pause) = notices.pause.filter(|_| changes.paused) {
+        let pause_ms = pause.as_millis() as u64;
+        node.log.write(&ServerPaused { server, pause_ms });
+        metrics::counter!("fl_server_pauses_total").increment(1);
+    }
+    if changes.invalid_value {
+        node.log.write(&ServerNoticeInvalid { server });
+    }
     if changes.limit || changes.leaving {
         node.peers.request_urgent_report();
     }
--- a/crates/fl-forward/tests/server_notices.rs
+++ b/crates/fl-forward/tests/server_notices.rs
@@ -9,12 +9,15 @@
 use fl_kernel::forward::ServerList;
 use fl_protocol::forward::{ResponseNotices, ServerEntry};
 use std::sync::Arc;
+use std::time::Duration;
 use support::{entry, node};
 
 const CALLS: usize = 20;
-const LIMITED: ResponseNotices = ResponseNotices { limit_per_s: Some(1.0), is_leaving: false };
-const LEAVING: ResponseNotices = ResponseNotices { limit_per_s: None, is_leaving: true };
-const NOTHING: ResponseNotices = ResponseNotices { limit_per_s: None, is_leaving: false };
+const NOTHING: ResponseNotices =
+    ResponseNotices { limit_per_s: None, is_leaving: false, pause: None, has_invalid_value: false };
+const LIMITED: ResponseNotices = ResponseNotices { limit_per_s: Some(1.0), ..NOTHING };
+const LEAVING: ResponseNotices = ResponseNotices { is_leaving: true, ..NOTHING };
+const PAUSED: ResponseNotices = ResponseNotices { pause: Some(Duration::from_secs(60)), ..NOTHING };
 
 fn list(node: &Node, entries: Vec<ServerEntry>, revision: u64) {
     apply_list(node, ServerList { entries, invalid_entries: Vec::new(), revision }, boot_time());
@@ -58,7 +61,10 @@
     let node = node_with(&["a", "b"]);
     note_response(&node, "a", &LIMITED);
     note_response(&node, "b", &LIMITED);
-    assert_eq!(choose(&node), Err(NoServer::AllDenied));
+    assert_eq!(choose(&node), Err(NoServer::AllDenied(None)));
+    note_response(&node, "b", &PAUSED);
+    let Err(NoServer::AllDenied(Some(wait))) = choose(&node) else { panic!("a pause is known") };
+    assert!(wait <= Duration::from_secs(60));
 }
 
 /// Guards against nodes that learn of a limit only from their own calls.
@@ -104,3 +110,12 @@
     apply_reported_notices(&first, &second.servers.notices_to_report());
     assert_eq!(choose(&first), Ok("a".to_string()), "the peer speaks of the earlier instance");
 }
+
+/// Guards against calls to a server that asked this node for a pause; its peers are not concerned.
+#[test]
+fn paused_server_left_alone() {
+    let node = node_with(&["a", "b"]);
+    note_response(&node, "a", &PAUSED);
+    assert!(only_b(&node));
+    assert!(node.servers.notices_to_report().is_empty());
+}
--- a/crates/fl-limits/src/server_notices.rs
+++ b/crates/fl-limits/src/server_notices.rs
@@ -1,18 +1,25 @@
 //! What a backend server asks of the nodes in its responses, and whether it may be sent a call now.
 //!
-//! A server says that it leaves, or how many calls a second it takes from all nodes. This module
-//! alone decides for both; see
+//! A server says that it leaves, that it wants nothing for a time, or how many calls a second it
+//! takes from all nodes. This module alone decides for all three; see
 //! `docs/design/100-on-the-platform.md`.
 
 use crate::named_limit::NamedLimit;
 use fl_protocol::forward::ResponseNotices;
 use std::time::Duration;
 
+/// Longest pause that is kept. A server that names a longer one would in effect be given up.
+const PAUSE_MAX: Duration = Duration::from_secs(3600);
+/// How long the single call after a pause may take until its response; then another one tries.
+const TRIAL_TIME: Duration = Duration::from_millis(1000);
+
 /// Why a server must not be sent a call now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendDenial {
     /// The server said that it leaves.
     Leaving,
+    /// The server wants nothing for this time.
+    Paused(Duration),
     /// The limit that the server named leaves no room for a call of this node.
     Limited,
 }
@@ -24,6 +31,10 @@
     pub limit: bool,
     /// The server said for the first time that it leaves.
     pub leaving: bool,
+    /// A pause began.
+    pub paused: bool,
+    /// The server's instance sent an invalid value for the first time.
+    pub invalid_value: bool,
 }
 
 /// What one server has asked of this node and, for its limit and its leaving, of any node.
@@ -32,6 +43,19 @@
     /// The rate limit that the server names.
     pub limit: NamedLimit,
     is_leaving: bool,
+    pause: Pause,
+    has_sent_invalid_value: bool,
+}
+
+/// A pause that a server asked for, and the single call that ends it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+enum Pause {
+    #[default]
+    None,
+    /// Nothing may be sent before this time.
+    Until(Duration),
+    /// One call is under way; another one may try at this time.
+    Trial(Duration),
 }
 
 impl ServerNotices {
@@ -41,6 +65,11 @@
         if self.is_leaving {
             return Err(SendDenial::Leaving);
         }
+        if let Pause::Until(end) | Pause::Trial(end) = self.pause
+            && now < end
+        {
+            return Err(SendDenial::Paused(end - now));
+        }
         match self.limit.may_send(sharing, now) {
             true => Ok(()),
             false => Err(SendDenial::Limited),
@@ -49,6 +78,9 @@
 
     /// Counts a call that is sent now.
     pub fn count_call(&mut self, sharing: Option<usize>, now: Duration) {
+        if self.pause != Pause::None {
+            self.pause = Pause::Trial(now + TRIAL_TIME);
+        }
         if let Some(sharing) = sharing {
             self.limit.count_call(sharing, now);
         }
@@ -59,7 +91,31 @@
         let leaving = notices.is_leaving && !self.is_leaving;
         self.is_leaving |= notices.is_leaving;
         let limit = self.limit.hear(notices.limit_per_s, now);
-        NoticeChanges { limit, leaving }
+        let paused = self.apply_pause(notices.pause, now);
+        let invalid_value = notices.has_invalid_value && !self.has_sent_invalid_value;
+        self.has_sent_invalid_value |= notices.has_invalid_value;
+        NoticeChanges { limit, leaving, paused, invalid_value }
+    }
+
+    /// Begins, keeps or ends a pause, and returns whether one began.
+    fn apply_pause(&mut self, asked: Option<Duration>, now: Duration) -> bool {
+        let is_paused = matches!(self.pause, Pause::Until(end) if now < end);
+        match asked {
+            Some(time) => {
+                let end = now + time.min(PAUSE_MAX);
+                self.pause = match self.pause {
+                    Pause::Until(known) => Pause::Until(known.max(end)),
+                    _ => Pause::Until(end),
+                };
+                !is_paused
+            }
+            // A call that was under way when the pause began says nothing about it.
+            None if is_paused => false,
+            None => {
+                self.pause = Pause::None;
+                false
+            }
+        }
     }
 
     /// Notes that a peer heard the server say that it leaves. Returns whether that is news.
--- a/crates/fl-protocol/src/forward.rs
+++ b/crates/fl-protocol/src/forward.rs
@@ -235,6 +235,11 @@
     pub limit_per_s: Option<f64>,
     /// Whether the server says that it leaves.
     pub is_leaving: bool,
+    /// Time for which the server wants nothing from this node.
+    pub pause: Option<Duration>,
+    /// Whether a limit or a pause was named with a value that cannot be used: no number, negative
+    /// or not finite.
+    pub has_invalid_value: bool,
 }
 
 /// Load that a backend server reports in a response.
