--- a/crates/fl-forward/src/attempt.rs
+++ b/crates/fl-forward/src/attempt.rs
@@ -1,9 +1,9 @@
 //! One attempt to forward a call: chooses a server, sends the call and reads the response's head.
 
 use crate::connection_pool::{Connection, SendError};
-use crate::forwarding::{Call, Progress, refuse_expired, refuse_failed};
+use crate::forwarding::{Call, Progress, refuse_denied, refuse_expired, refuse_failed};
 use crate::node::Node;
-use crate::servers::{ChosenServer, InFlightCall};
+use crate::servers::{ChosenServer, InFlightCall, NoServer, note_response};
 use fl_kernel::forward::{Refusal, ResponseHead, SendOptions};
 use fl_protocol::forward::ServerName;
 use http::Response;
@@ -73,12 +73,12 @@
     let service = &call.admission.service;
     let chosen =
         node.servers.choose(service, model, is_urgent, own_zone, &progress.excluded_servers);
-    let Some(chosen) = chosen else {
-        return Err(AttemptError::Refused(refuse_failed(
-            progress,
-            "no backend server can take the call",
-        )));
-    };
+    let chosen = chosen.map_err(|no_server| {
+        AttemptError::Refused(match no_server {
+            NoServer::NoneUsable => refuse_failed(progress, "no backend server can take the call"),
+            NoServer::AllDenied(wait) => refuse_denied(progress, wait),
+        })
+    })?;
     let in_flight = InFlightCall::begin(node, &chosen, is_urgent);
     let sent_at = Instant::now();
     let sending = send(node, call, &chosen, last_event_id);
@@ -168,6 +168,9 @@
                 let (parts, body) = response.into_parts();
                 let head = node.platform.codec.parse_response(&call.head.id, &parts);
                 connection.set_keep_alive(head.keep_alive);
+                if head.matches_call && !head.is_misdirected {
+                    note_response(node, &chosen.entry.name, &head.notices);
+                }
                 return Ok((connection, head, Response::from_parts(parts, body)));
             }
             // A pooled connection that closed before a byte was written says nothing about the
--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -42,6 +42,10 @@
     TableUnreadable<'_> => "table_unreadable",
     ServerChanged<'_> => "server_changed",
     ServerEntryUnreadable<'_> => "server_entry_unreadable",
+    ServerLimitChanged<'_> => "server_limit_changed",
+    ServerLeaving<'_> => "server_leaving",
+    ServerPaused<'_> => "server_paused",
+    ServerNoticeInvalid<'_> => "server_notice_invalid",
     CallRefused<'_> => "call_refused",
     QuotaShort<'_> => "quota_short",
     AttemptFailed<'_> => "attempt_failed",
@@ -188,6 +192,43 @@
     pub fault: &'a str,
 }
 
+/// A backend server named a rate limit, changed it, or no longer names one.
+#[derive(Debug, Serialize)]
+pub struct ServerLimitChanged<'a> {
+    /// The server.
+    pub server: &'a str,
+    /// The limit in calls per second from all nodes together; `null` if it has ended.
+    pub limit_per_s: Option<f64>,
+    /// How this node knows: `response` or `peer`.
+    pub source: &'a str,
+}
+
+/// A backend server said in a response that it leaves, so this node sends it nothing more.
+#[derive(Debug, Serialize)]
+pub struct ServerLeaving<'a> {
+    /// The server.
+    pub server: &'a str,
+    /// How this node knows: `response` or `peer`.
+    pub source: &'a str,
+}
+
+/// A backend server asked this node to send nothing for a time.
+#[derive(Debug, Serialize)]
+pub struct ServerPaused<'a> {
+    /// The server.
+    pub server: &'a str,
+    /// The time from now.
+    pub pause_ms: u64,
+}
+
+/// A backend server named a limit or a pause with a value that cannot be used; it is ignored.
+/// Logged once for each instance of a server.
+#[derive(Debug, Serialize)]
+pub struct ServerNoticeInvalid<'a> {
+    /// The server.
+    pub server: &'a str,
+}
+
 /// A peer's reports began, stopped or resumed.
 #[derive(Debug, Serialize)]
 pub struct PeerChanged<'a> {
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -2,13 +2,16 @@
 //! failures.
 
 mod load;
+mod notices;
 mod registry;
 
 pub use load::{InFlightCall, InFlightLoad};
+pub use notices::{AdmittingNodes, ReportedNotices, apply_reported_notices, note_response};
 pub use registry::{apply_list, watch};
 
 use crate::clock::boot_time;
 use fl_kernel::forward::ServerList;
+use fl_limits::{SendDenial, ServerNotices};
 use fl_protocol::forward::{ModelCall, ServerEntry, ServerName};
 use fl_protocol::{DataCenterName, ServiceName};
 use fl_routing::placement::{
@@ -48,6 +51,8 @@
     unreachable_zones: Vec<DataCenterName>,
     /// Prompt tokens that this node sent for prefill, by service. Sorted by service.
     demand: Vec<(ServiceName, u64)>,
+    /// The nodes that may share the limits which servers name.
+    admitting_nodes: AdmittingNodes,
     /// Names of the entries that could not be read in the last list.
     invalid_entries: Vec<String>,
 }
@@ -59,11 +64,25 @@
     own: InFlightLoad,
     /// The peers' calls in flight at the server, from their last reports.
     peers: InFlightLoad,
+    /// Start of its instance, in Unix milliseconds, if its entry says so.
+    born_ms: Option<u64>,
+    /// What it asked of this node in its responses.
+    notices: ServerNotices,
     /// Raised by failures; it decays from the value at `failure_score_at`.
     failure_score: f64,
     failure_score_at: Duration,
 }
 
+/// Why no server can take a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoServer {
+    /// No server of the service is usable, or the call has been to all of them.
+    NoneUsable,
+    /// The servers said that they want no call of this node now; holds the shortest time until one
+    /// of them wants calls again, if that is known.
+    AllDenied(Option<Duration>),
+}
+
 /// The server that was chosen for a call.
 #[derive(Debug, Clone)]
 pub struct ChosenServer {
@@ -78,7 +97,7 @@
 }
 
 impl Servers {
-    /// Chooses a server of a service for a call; `None` if all are excluded or none is usable.
+    /// Chooses a server of a service for a call, and counts the call as sent to it.
     pub fn choose(
         &self,
         service: &str,
@@ -86,30 +105,31 @@
         is_urgent: bool,
         own_zone: &str,
         excluded_servers: &[ServerName],
-    ) -> Option<ChosenServer> {
+    ) -> Result<ChosenServer, NoServer> {
         let now = boot_time();
-        let state = self.state.lock();
-        let candidates: Vec<Candidate> = state
-            .registered
+        let mut state = self.state.lock();
+        let usable: Vec<&ServerEntry> = state
             .usable()
             .filter(|entry| entry.service == service && !excluded_servers.contains(&entry.name))
+            .collect();
+        let candidates: Vec<Candidate> = usable
+            .iter()
+            .filter(|entry| state.check_notices(entry, now).is_ok())
             .map(|entry| state.candidate(entry, now))
             .collect();
         let request = PlacementRequest { call, is_urgent, own_zone };
-        let placement = place(&request, &candidates, state.prefill_rate, rand::random::<f64>)?;
-        let candidate = candidates.get(placement.index)?;
+        let placement = place(&request, &candidates, state.prefill_rate, rand::random::<f64>)
+            .ok_or_else(|| state.no_server(&usable, now))?;
+        let candidate = candidates[placement.index];
         let ServerLoad { in_flight, pending_prefill_tokens, .. } = candidate.load;
-        Some(ChosenServer {
-            entry: candidate.entry.clone(),
-            placement,
-            in_flight,
-            pending_prefill_tokens,
-        })
+        let entry = candidate.entry.clone();
+        state.count_call(&entry.name, now);
+        Ok(ChosenServer { entry, placement, in_flight, pending_prefill_tokens })
     }
 
     /// Returns the entries of the servers that may be used.
     pub fn usable(&self) -> Vec<ServerEntry> {
-        self.state.lock().registered.usable().cloned().collect()
+        self.state.lock().usable().cloned().collect()
     }
 
     /// Returns whether servers are still used although their entries are missing from the newest
@@ -159,7 +179,7 @@
     pub fn occupied_servers(&self, service: &str) -> f64 {
         let now = boot_time();
         let state = self.state.lock();
-        let of_service = state.registered.usable().filter(|entry| entry.service == service);
+        let of_service = state.usable().filter(|entry| entry.service == service);
         let occupied_shares = of_service.map(|entry| {
             let in_flight = state.candidate(entry, now).load.in_flight;
             f64::from(in_flight) / f64::from(entry.slots.max(1))
@@ -225,8 +245,7 @@
 impl State {
     /// Returns a server with its load estimate, as placement needs it.
     fn candidate<'a>(&self, entry: &'a ServerEntry, now: Duration) -> Candidate<'a> {
-        let index = self.known.binary_search_by(|known| known.name.cmp(&entry.name));
-        let known = index.ok().map(|index| &self.known[index]);
+        let known = self.known_server(&entry.name);
         let mut load = known.map_or_else(ServerLoad::default, |known| known.load(now));
         if self.unreachable_zones.binary_search(&entry.zone).is_ok() {
             load.failure_score = load.failure_score.max(UNREACHABLE_ZONE_SCORE);
@@ -235,6 +254,23 @@
         Candidate { entry, name_hash, load }
     }
 
+    /// Returns why none of the usable servers of a service can be chosen.
+    fn no_server(&self, usable: &[&ServerEntry], now: Duration) -> NoServer {
+        if usable.is_empty() {
+            return NoServer::NoneUsable;
+        }
+        let pauses = usable.iter().filter_map(|entry| match self.check_notices(entry, now) {
+            Err(SendDenial::Paused(left)) => Some(left),
+            _ => None,
+        });
+        NoServer::AllDenied(pauses.min())
+    }
+
+    fn known_server(&self, name: &str) -> Option<&KnownServer> {
+        let index = self.known.binary_search_by(|known| known.name.as_str().cmp(name));
+        index.ok().map(|index| &self.known[index])
+    }
+
     /// Adds newly listed servers and drops those that are not listed and have no call of this node
     /// in flight.
     fn update_known(&mut self) {
@@ -245,19 +281,24 @@
                 || listed.binary_search_by(|entry| entry.name.cmp(&known.name)).is_ok()
         });
         for entry in listed {
-            if let Err(index) = self.known.binary_search_by(|known| known.name.cmp(&entry.name)) {
-                self.known.insert(index, KnownServer::new(&entry.name));
+            match self.known.binary_search_by(|known| known.name.cmp(&entry.name)) {
+                Ok(index) => self.known[index].set_instance(entry.born_ms),
+                Err(index) => {
+                    self.known.insert(index, KnownServer::new(&entry.name, entry.born_ms));
+                }
             }
         }
     }
 }
 
 impl KnownServer {
-    fn new(name: &str) -> Self {
+    fn new(name: &str, born_ms: Option<u64>) -> Self {
         KnownServer {
             name: name.to_string(),
             own: InFlightLoad::idle(name_hash(name)),
             peers: InFlightLoad::idle(name_hash(name)),
+            born_ms,
+            notices: ServerNotices::default(),
             failure_score: 0.0,
             failure_score_at: Duration::ZERO,
         }
@@ -267,6 +308,14 @@
         self.own.name_hash
     }
 
+    /// Forgets what an earlier instance of the server asked.
+    fn set_instance(&mut self, born_ms: Option<u64>) {
+        if self.born_ms != born_ms {
+            self.born_ms = born_ms;
+            self.notices = ServerNotices::default();
+        }
+    }
+
     fn load(&self, now: Duration) -> ServerLoad {
         let mut load = self.own;
         load.add(&self.peers);
--- a/crates/fl-kernel/src/forward.rs
+++ b/crates/fl-kernel/src/forward.rs
@@ -9,7 +9,9 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use fl_protocol::forward::{CallHead, ReportedLoad, RouteTable, ServerEntry, ServerName};
+use fl_protocol::forward::{
+    CallHead, ReportedLoad, ResponseNotices, RouteTable, ServerEntry, ServerName,
+};
 use fl_protocol::{DataCenterName, FencingToken, ServiceName, VmName, WorkspaceName};
 use http::{HeaderMap, Request, StatusCode, request, response};
 use std::pin::Pin;
@@ -186,7 +188,7 @@
 }
 
 /// Parsed head of a backend server's response.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ResponseHead {
     /// HTTP status.
     pub status: StatusCode,
@@ -200,6 +202,8 @@
     pub is_signed: bool,
     /// Load that the server reports.
     pub load: Option<ReportedLoad>,
+    /// What the server asks of the nodes.
+    pub notices: ResponseNotices,
     /// Time for which the server keeps the idle connection open, if it says so.
     pub keep_alive: Option<Duration>,
 }
