Order what is read from the store by its incarnation, then its revision

What callers and back ends would see when the store comes back from an older copy: lists of servers are ignored until the store's revisions have passed those of before, so a server that drains keeps getting calls; a table whose version number is given out again with other contents never comes into force; a node that starts meanwhile takes keys by a table older than that of its peers, also a revoked one.

Cause: revisions were compared as bare numbers, and after the loss they go back and are given out again.

Change: one type, StoreVersion, orders by incarnation, then revision. The first list of a new incarnation is an older copy: missing entries are retained as after an outage, and what was known to leave or to be gone stays out until outdated entries have expired (four heartbeats). A route table is named by its version and the incarnation it was last read from, so an equal number with other contents is recognised; the table in force never goes back, and a node that is behind its peers does not confirm its table. Replies between nodes are a new message; a node of the build before ignores it and reads the store itself, and the old reply is ignored here. store_incarnation_seen is logged.

Weighed: forgetting everything at a new incarnation (callers would lose routes and servers until all is written again), keeping what is known until it is written again (taken).

Five cases of registry_view hold the order of lists.

--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -40,6 +40,7 @@
     TableReadFailed => "table_read_failed",
     TableReadRestarted => "table_read_restarted",
     TableUnreadable<'_> => "table_unreadable",
+    StoreIncarnationSeen => "store_incarnation_seen",
     ServerChanged<'_> => "server_changed",
     ServerEntryUnreadable<'_> => "server_entry_unreadable",
     ServerLimitChanged<'_> => "server_limit_changed",
@@ -172,6 +173,15 @@
     pub in_force: u64,
 }
 
+/// The store responded in a new incarnation: it has come back from an older copy.
+#[derive(Debug, Serialize)]
+pub struct StoreIncarnationSeen {
+    /// The new incarnation.
+    pub incarnation: u64,
+    /// The incarnation that was known before.
+    pub previous: u64,
+}
+
 /// A backend server was listed, began to drain, or is no longer listed.
 #[derive(Debug, Serialize)]
 pub struct ServerChanged<'a> {
@@ -179,7 +189,9 @@
     pub server: &'a str,
     /// `joined`, `draining` or `gone`.
     pub change: &'a str,
-    /// The store's revision of the list that shows the change.
+    /// The store's incarnation when it sent the list that shows the change.
+    pub incarnation: u64,
+    /// The store's revision of that list.
     pub revision: u64,
 }
 
--- a/crates/fl-forward/src/node.rs
+++ b/crates/fl-forward/src/node.rs
@@ -5,6 +5,7 @@
 use crate::connection_pool::{Connection, ConnectionPool, idle_connections_max};
 use crate::duties::DutyLeaseState;
 use crate::log::Log;
+use crate::log::event::StoreIncarnationSeen;
 use crate::peers::Peers;
 use crate::retry_budget::RetryBudgets;
 use crate::route_table::ActiveRouteTable;
@@ -13,7 +14,7 @@
 use crate::usage::UsageCounts;
 use fl_kernel::forward::{CallCodec, ForwardSettings, PlatformDuties, PlatformStore};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
@@ -65,6 +66,7 @@
     pub started_at: Duration,
     leaving: AtomicBool,
     active_calls: AtomicUsize,
+    incarnation: AtomicU64,
 }
 
 /// Counts a call as active until it is dropped.
@@ -91,6 +93,7 @@
             started_at: boot_time(),
             leaving: AtomicBool::new(false),
             active_calls: AtomicUsize::new(0),
+            incarnation: AtomicU64::new(0),
         }
     }
 
@@ -113,6 +116,14 @@
         metrics::counter!("fl_store_calls_total", &labels).increment(1);
     }
 
+    /// Notes the store's incarnation of a response, and logs a new one.
+    pub fn note_incarnation(&self, incarnation: u64) {
+        let previous = self.incarnation.fetch_max(incarnation, Ordering::Relaxed);
+        if incarnation > previous {
+            self.log.write(&StoreIncarnationSeen { incarnation, previous });
+        }
+    }
+
     /// Sleeps for a time; returns `None` if the node is cancelled meanwhile.
     pub async fn sleep(&self, time: Duration) -> Option<()> {
         self.cancel.run_until_cancelled(tokio::time::sleep(time)).await
--- a/crates/fl-forward/src/peers/exchange.rs
+++ b/crates/fl-forward/src/peers/exchange.rs
@@ -23,11 +23,14 @@
     Report(Box<PeerReport>),
     /// A query for a node's state of the store.
     Query(StoreQuery),
-    /// The reply to such a query.
-    Reply(StoreReply),
+    /// The reply of an earlier build, whose revisions say nothing of the store's incarnation. It is
+    /// ignored: a node reads the store itself while it hears no other reply.
+    RevisionReply,
     /// What backend servers asked of all nodes in responses to the sending node. A message of its
     /// own, so that nodes of an earlier build still understand the reports.
     Notices(Vec<ReportedNotices>),
+    /// The reply to a query.
+    Reply(StoreReply),
 }
 
 impl Datagram {
@@ -96,6 +99,7 @@
                 let reply = shared_reads::reply_to(&node, query);
                 Datagram::Reply(reply).send(&socket, from);
             }
+            Ok(Datagram::RevisionReply) => {}
             Ok(Datagram::Reply(reply)) => shared_reads::apply_reply(&node, reply),
             Ok(Datagram::Notices(notices)) => apply_reported_notices(&node, &notices),
             Err(_) => metrics::counter!("fl_peer_reports_unreadable_total").increment(1),
--- a/crates/fl-forward/src/route_table/reads.rs
+++ b/crates/fl-forward/src/route_table/reads.rs
@@ -11,7 +11,8 @@
 };
 use crate::node::Node;
 use crate::shared_reads::chosen_reader;
-use fl_kernel::forward::{PlatformError, RouteTableRead, RouteTableResponse, StoreRevision};
+use fl_kernel::forward::{PlatformError, RouteTableRead, RouteTableResponse};
+use fl_protocol::forward::StoreVersion;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,15 +25,15 @@
 
 /// Keeps the route table up to date until the node ends.
 pub async fn watch(node: Arc<Node>) {
-    let reader = TableReader { node: &node, revision: None, outage: None };
+    let reader = TableReader { node: &node, after: None, outage: None };
     node.cancel.run_until_cancelled(reader.run()).await;
 }
 
 /// Reads the route table again and again.
 struct TableReader<'a> {
     node: &'a Node,
-    /// Revision after which to wait for changes; `None` if the whole table has to be read.
-    revision: Option<StoreRevision>,
+    /// Version of the store after which to wait for changes; `None` if the whole table has to be read.
+    after: Option<StoreVersion>,
     outage: Option<Outage>,
 }
 
@@ -46,7 +47,7 @@
 /// Outcome of a wait for a change.
 enum WaitOutcome {
     /// The store has responded, or the call failed.
-    Ended(Result<StoreRevision, PlatformError>),
+    Ended(Result<StoreVersion, PlatformError>),
     /// A peer reported this newer version before the store responded.
     NewerVersion(u64),
 }
@@ -55,13 +56,13 @@
     async fn run(mut self) {
         loop {
             let started_at = boot_time();
-            let outcome = match self.revision {
+            let outcome = match self.after {
                 None => WaitOutcome::Ended(self.read_whole().await),
-                Some(revision) => self.wait_for_change(revision).await,
+                Some(version) => self.wait_for_change(version).await,
             };
             match outcome {
                 WaitOutcome::NewerVersion(reported_version) => {
-                    self.revision = None;
+                    self.after = None;
                     let read_ms = millis_since(started_at);
                     self.node.log.write(&TableReadRestarted { read_ms, reported_version });
                 }
@@ -74,20 +75,20 @@
     }
 
     /// Reads the whole table.
-    async fn read_whole(&self) -> Result<StoreRevision, PlatformError> {
+    async fn read_whole(&self) -> Result<StoreVersion, PlatformError> {
         let sent_at = boot_time();
         let table_read = self.node.platform.store.read_route_table().await?;
         self.apply(table_read, sent_at, sent_at)
     }
 
-    /// Waits for the next change after a revision, or for a report of a newer version. The report
+    /// Waits for the next change after a version, or for a report of a newer version. The report
     /// ends the wait only until the store has begun to respond.
-    async fn wait_for_change(&self, revision: StoreRevision) -> WaitOutcome {
+    async fn wait_for_change(&self, after: StoreVersion) -> WaitOutcome {
         let begun = tokio::select! {
             version = self.node.route_table.wait_for_newer_version() => {
                 return WaitOutcome::NewerVersion(version);
             }
-            begun = self.begin_wait_when_due(revision) => begun,
+            begun = self.begin_wait_when_due(after) => begun,
         };
         WaitOutcome::Ended(match begun {
             Ok((response, sent_at)) => self.finish_wait(response, sent_at).await,
@@ -99,7 +100,7 @@
     /// old. Returns the response and the boot time at which the call was sent.
     async fn begin_wait_when_due(
         &self,
-        revision: StoreRevision,
+        after: StoreVersion,
     ) -> Result<(RouteTableResponse, Duration), PlatformError> {
         let node = self.node;
         while chosen_reader(node).is_some() {
@@ -109,7 +110,7 @@
         }
         let sent_at = boot_time();
         let wait = node.read_intervals.table_wait;
-        let response = node.platform.store.wait_for_route_table(revision, wait).await?;
+        let response = node.platform.store.wait_for_route_table(after, wait).await?;
         Ok((response, sent_at))
     }
 
@@ -117,7 +118,7 @@
         &self,
         response: RouteTableResponse,
         sent_at: Duration,
-    ) -> Result<StoreRevision, PlatformError> {
+    ) -> Result<StoreVersion, PlatformError> {
         let table_read = response.await?;
         let wait = self.node.read_intervals.table_wait;
         // A response without a change is sent at the end of the wait, so it confirms that moment.
@@ -127,14 +128,15 @@
         self.apply(table_read, sent_at, confirmed_at)
     }
 
-    /// Puts the table that was read in force and returns the revision to wait after.
+    /// Puts the table that was read in force and returns the version to wait after.
     fn apply(
         &self,
         table_read: RouteTableRead,
         sent_at: Duration,
         confirmed_at: Duration,
-    ) -> Result<StoreRevision, PlatformError> {
+    ) -> Result<StoreVersion, PlatformError> {
         let node = self.node;
+        node.note_incarnation(table_read.store_version.incarnation);
         if let Some(error) = &table_read.error {
             let in_force = node.route_table.current().version;
             node.log.write(&TableUnreadable { fault: error, in_force });
@@ -143,31 +145,32 @@
         if let Some(table) = table_read.table {
             let (version, routes) = (table.version, table.routes.len());
             let (workspaces, keys) = (table.workspaces.len(), table.keys.len());
-            if let Some(previous) = node.route_table.install(table) {
+            let incarnation = table_read.store_version.incarnation;
+            if let Some(previous) = node.route_table.install(table, incarnation) {
                 let read_ms = millis_since(sent_at);
                 let event = TableInForce { version, previous, routes, workspaces, keys, read_ms };
                 node.log.write(&event);
                 node.apply_quotas();
             }
         }
-        if node.route_table.current().version > 0 {
+        if node.route_table.is_newest_known() {
             node.route_table.confirm(confirmed_at);
         }
-        Ok(table_read.revision)
+        Ok(table_read.store_version)
     }
 
     /// Notes the outcome of a read, and pauses after a failure.
     async fn note_result(
         &mut self,
-        result: Result<StoreRevision, PlatformError>,
+        result: Result<StoreVersion, PlatformError>,
         started_at: Duration,
     ) {
         match result {
-            Ok(revision) => {
-                self.revision = Some(revision);
+            Ok(version) => {
+                self.after = Some(version);
                 self.end_outage();
             }
-            Err(PlatformError::HistoryGone) => self.revision = None,
+            Err(PlatformError::HistoryGone) => self.after = None,
             Err(error) => {
                 self.note_failure(error.to_string(), started_at);
                 tokio::time::sleep(RETRY_DELAY).await;
--- a/crates/fl-forward/src/servers/registry.rs
+++ b/crates/fl-forward/src/servers/registry.rs
@@ -83,14 +83,14 @@
     let heartbeat = node.settings.server_heartbeat;
     let mut state = node.servers.state.lock();
     let entries = list.entries.clone();
-    let changes = state.registered.apply_list(entries, list.revision, read_at, heartbeat);
+    let changes = state.registered.apply_list(entries, list.store_version, read_at, heartbeat);
     if state.registered.read_at() != Some(read_at) {
         return;
     }
     state.update_known();
     state.digest = digest(&list.entries);
     state.list = Arc::new(ServerList { invalid_entries: Vec::new(), ..list });
-    let revision = state.list.revision;
+    let store_version = state.list.store_version;
     drop(state);
     for change in &changes {
         let (server, change) = match change {
@@ -98,7 +98,12 @@
             RegistryChange::Draining(server) => (server, "draining"),
             RegistryChange::Gone(server) => (server, "gone"),
         };
-        node.log.write(&ServerChanged { server, change, revision });
+        node.log.write(&ServerChanged {
+            server,
+            change,
+            incarnation: store_version.incarnation,
+            revision: store_version.revision,
+        });
     }
     if !changes.is_empty() {
         node.duty_lease.notify_servers_changed();
--- a/crates/fl-forward/src/shared_reads.rs
+++ b/crates/fl-forward/src/shared_reads.rs
@@ -11,9 +11,10 @@
 use crate::log::event::ReaderChanged;
 use crate::node::Node;
 use crate::peers::Datagram;
+use crate::route_table::TableId;
 use crate::servers::apply_list;
-use fl_kernel::forward::{ForwardBounds, ServerList, StoreRevision};
-use fl_protocol::forward::{ServerEntry, TableVersion};
+use fl_kernel::forward::{ForwardBounds, ServerList};
+use fl_protocol::forward::{ServerEntry, StoreVersion};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -84,14 +85,14 @@
 pub struct StoreReply {
     /// When the query was sent, by the sender's clock; returned unchanged.
     pub query_sent_at_us: u64,
-    /// The route table version in force at the replying node.
-    pub table_version: TableVersion,
-    /// How long ago that version was known to be the newest, in microseconds.
+    /// The route table in force at the replying node.
+    pub table: TableId,
+    /// How long ago that table was known to be the newest, in microseconds.
     pub table_age_us: Option<u64>,
     /// How long ago the list of servers was read, in microseconds.
     pub registry_age_us: Option<u64>,
-    /// The store's revision of that list.
-    pub revision: StoreRevision,
+    /// The store's version of that list.
+    pub store_version: StoreVersion,
     /// The digest of that list.
     pub registry_digest: u64,
     /// The list, unless the querying node has it already.
@@ -150,10 +151,10 @@
     let (list, digest) = node.servers.list();
     StoreReply {
         query_sent_at_us: query.sent_at_us,
-        table_version: node.route_table.current().version,
+        table: node.route_table.id(),
         table_age_us: age_us(node.route_table.age()),
         registry_age_us: age_us(node.servers.age()),
-        revision: list.revision,
+        store_version: list.store_version,
         registry_digest: digest,
         entries: (query.registry_digest != digest).then(|| list.entries.clone()),
     }
@@ -168,9 +169,9 @@
         return;
     }
     let current_at = |age_us: u64| sent_at.checked_sub(Duration::from_micros(age_us));
-    node.route_table.note_version(reply.table_version);
+    node.route_table.note_table(reply.table);
     if let Some(at) = reply.table_age_us.and_then(current_at) {
-        node.route_table.confirm_version(reply.table_version, at);
+        node.route_table.confirm_table(reply.table, at);
     }
     let Some(at) = reply.registry_age_us.and_then(current_at) else { return };
     let (own_list, own_digest) = node.servers.list();
@@ -181,7 +182,7 @@
     };
     apply_list(
         node,
-        ServerList { entries, invalid_entries: Vec::new(), revision: reply.revision },
+        ServerList { entries, invalid_entries: Vec::new(), store_version: reply.store_version },
         at,
     );
 }
--- a/crates/fl-forward/tests/registry_reads.rs
+++ b/crates/fl-forward/tests/registry_reads.rs
@@ -9,12 +9,16 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use support::{StubStore, entry, node};
+use support::{StubStore, entry, node, store_version};
 
 const READS: usize = 4;
 
 fn list(revision: u64) -> ServerList {
-    ServerList { entries: vec![entry("a", "model", 8)], invalid_entries: Vec::new(), revision }
+    ServerList {
+        entries: vec![entry("a", "model", 8)],
+        invalid_entries: Vec::new(),
+        store_version: store_version(revision),
+    }
 }
 
 /// A stale response of the store does not make the list fresher, so the next read is due at once.
--- a/crates/fl-forward/tests/route_table_reads.rs
+++ b/crates/fl-forward/tests/route_table_reads.rs
@@ -12,11 +12,11 @@
     PlatformError, PlatformStore, RouteTableRead, RouteTableResponse, ServerList, StoreRevision,
     StoredRow, WriteOutcome,
 };
-use fl_protocol::forward::RouteTable;
+use fl_protocol::forward::{RouteTable, StoreVersion};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
-use support::{StubStore, node_with_store};
+use support::{StubStore, node_with_store, store_version};
 use tokio::sync::{Notify, Semaphore};
 
 /// Longest wait for a condition.
@@ -71,7 +71,7 @@
         store.gate.acquire().await.expect("the gate is open").forget();
         guard.has_ended = true;
         let table = RouteTable { version, ..RouteTable::default() };
-        RouteTableRead { table: Some(table), error: None, revision: version }
+        RouteTableRead { table: Some(table), error: None, store_version: store_version(version) }
     }
 }
 
@@ -84,14 +84,18 @@
         Ok(GatedStore::read(self.0.clone()).await)
     }
 
+    fn incarnation(&self) -> u64 {
+        0
+    }
+
     async fn wait_for_route_table(
         &self,
-        revision: StoreRevision,
+        after: StoreVersion,
         _: Duration,
     ) -> Result<RouteTableResponse, PlatformError> {
         loop {
             let declared = self.0.declared.notified();
-            if self.0.version.load(Ordering::SeqCst) > revision {
+            if self.0.version.load(Ordering::SeqCst) > after.revision {
                 let store = self.0.clone();
                 return Ok(Box::pin(async move { Ok(GatedStore::read(store).await) }));
             }
--- a/crates/fl-forward/tests/server_notices.rs
+++ b/crates/fl-forward/tests/server_notices.rs
@@ -10,7 +10,7 @@
 use fl_protocol::forward::{ResponseNotices, ServerEntry};
 use std::sync::Arc;
 use std::time::Duration;
-use support::{entry, node};
+use support::{entry, node, store_version};
 
 const CALLS: usize = 20;
 const NOTHING: ResponseNotices =
@@ -20,7 +20,11 @@
 const PAUSED: ResponseNotices = ResponseNotices { pause: Some(Duration::from_secs(60)), ..NOTHING };
 
 fn list(node: &Node, entries: Vec<ServerEntry>, revision: u64) {
-    apply_list(node, ServerList { entries, invalid_entries: Vec::new(), revision }, boot_time());
+    apply_list(
+        node,
+        ServerList { entries, invalid_entries: Vec::new(), store_version: store_version(revision) },
+        boot_time(),
+    );
 }
 
 /// Returns a node that knows servers of one service.
--- a/crates/fl-forward/tests/server_occupancy.rs
+++ b/crates/fl-forward/tests/server_occupancy.rs
@@ -8,7 +8,7 @@
 use fl_kernel::forward::ServerList;
 use fl_routing::rendezvous::name_hash;
 use std::sync::Arc;
-use support::{entry, node};
+use support::{entry, node, store_version};
 
 fn load(server: &str, in_flight: u32) -> InFlightLoad {
     InFlightLoad { in_flight, ..InFlightLoad::idle(name_hash(server)) }
@@ -22,7 +22,7 @@
     let entries = vec![entry("a", "model", 4), entry("b", "model", 8), entry("c", "other", 4)];
     apply_list(
         &node,
-        ServerList { entries, invalid_entries: Vec::new(), revision: 1 },
+        ServerList { entries, invalid_entries: Vec::new(), store_version: store_version(1) },
         boot_time(),
     );
     assert!(node.servers.occupied_servers("model").abs() < 0.01);
--- a/crates/fl-forward/tests/shared_reads.rs
+++ b/crates/fl-forward/tests/shared_reads.rs
@@ -11,11 +11,11 @@
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
-use support::{entry, node};
+use support::{entry, node, store_version};
 
 fn list(names: &[&str], revision: u64) -> ServerList {
     let entries = names.iter().map(|name| entry(name, "model", 8)).collect();
-    ServerList { entries, invalid_entries: Vec::new(), revision }
+    ServerList { entries, invalid_entries: Vec::new(), store_version: store_version(revision) }
 }
 
 fn names(node: &Node) -> Vec<String> {
--- a/crates/fl-forward/tests/support/node.rs
+++ b/crates/fl-forward/tests/support/node.rs
@@ -13,7 +13,7 @@
     ResponseHead, RouteTableRead, RouteTableResponse, SendOptions, ServerList, StoreRevision,
     StoredRow, WriteOutcome,
 };
-use fl_protocol::forward::{CallHead, ResponseNotices, ServerEntry, ServerState};
+use fl_protocol::forward::{CallHead, ResponseNotices, ServerEntry, ServerState, StoreVersion};
 use http::{HeaderMap, Request, request, response};
 use http_body_util::Full;
 use std::sync::Arc;
@@ -114,9 +114,13 @@
         refuse()
     }
 
+    fn incarnation(&self) -> u64 {
+        0
+    }
+
     async fn wait_for_route_table(
         &self,
-        _: StoreRevision,
+        _: StoreVersion,
         _: Duration,
     ) -> Result<RouteTableResponse, PlatformError> {
         refuse()
@@ -146,6 +150,11 @@
     }
 }
 
+/// Returns a version of a store that names no incarnation.
+pub fn store_version(revision: u64) -> StoreVersion {
+    StoreVersion { incarnation: 0, revision }
+}
+
 /// Returns the registry entry of a server that takes calls.
 pub fn entry(name: &str, service: &str, slots: u32) -> ServerEntry {
     ServerEntry {
--- a/crates/fl-kernel/src/forward.rs
+++ b/crates/fl-kernel/src/forward.rs
@@ -10,7 +10,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use fl_protocol::forward::{
-    CallHead, ReportedLoad, ResponseNotices, RouteTable, ServerEntry, ServerName,
+    CallHead, ReportedLoad, ResponseNotices, RouteTable, ServerEntry, ServerName, StoreVersion,
 };
 use fl_protocol::{DataCenterName, FencingToken, ServiceName, VmName, WorkspaceName};
 use http::{HeaderMap, Request, StatusCode, request, response};
@@ -62,8 +62,8 @@
     pub table: Option<RouteTable>,
     /// Reason why the document is invalid, if it is.
     pub error: Option<String>,
-    /// Revision after which to wait for the next change.
-    pub revision: StoreRevision,
+    /// Version of the store after which to wait for the next change.
+    pub store_version: StoreVersion,
 }
 
 /// A response of the store that has begun; reading it to its end gives the route table.
@@ -79,8 +79,8 @@
     pub entries: Vec<ServerEntry>,
     /// Names of the servers whose entries are invalid, each with the reason.
     pub invalid_entries: Vec<(String, String)>,
-    /// Revision of the store at which the registry was read.
-    pub revision: StoreRevision,
+    /// Version of the store at which the registry was read.
+    pub store_version: StoreVersion,
 }
 
 /// Persistent store of the platform.
@@ -90,11 +90,18 @@
 pub trait PlatformStore: Send + Sync {
     /// Reads the operators' whole document.
     async fn read_route_table(&self) -> Result<RouteTableRead, PlatformError>;
-    /// Waits up to `wait` for a change of the operators' document after a revision, and returns when
+    /// Returns the greatest incarnation that any response of the store has named.
+    fn incarnation(&self) -> u64;
+    /// Waits up to `wait` for a change of the operators' document after a version, and returns when
     /// the store begins to respond.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformError::HistoryGone`] if the store does not know that version, also because
+    /// it came back from an older copy.
     async fn wait_for_route_table(
         &self,
-        revision: StoreRevision,
+        version: StoreVersion,
         wait: Duration,
     ) -> Result<RouteTableResponse, PlatformError>;
     /// Reads the registry of backend servers.
--- a/crates/fl-protocol/src/forward.rs
+++ b/crates/fl-protocol/src/forward.rs
@@ -19,6 +19,20 @@
 /// Version of the route table; each new table has a greater one.
 pub type TableVersion = u64;
 
+/// Point in the history of the platform's store.
+///
+/// The store may come back from an older copy; its revisions then go back and are given out again.
+/// Each return has a greater incarnation, so versions are ordered by incarnation, then revision.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct StoreVersion {
+    /// Number of the store's incarnation; 0 if the store does not name one.
+    pub incarnation: u64,
+    /// Revision within the incarnation; grows with each write to any row.
+    pub revision: u64,
+}
+
 /// Operators' route table: routes, services, workspaces and limits of forwarded calls.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct RouteTable {
--- a/crates/fl-routing/src/registry_view.rs
+++ b/crates/fl-routing/src/registry_view.rs
@@ -4,7 +4,7 @@
 //! missing right after an outage is therefore retained until its server has had time to register
 //! again.
 
-use fl_protocol::forward::{ServerEntry, ServerState};
+use fl_protocol::forward::{ServerEntry, ServerState, StoreVersion};
 use std::time::Duration;
 
 /// Time after the first reading that follows an outage within which a live server registers again.
@@ -12,6 +12,12 @@
 /// The store may have been available for most of a second before that reading, and an entry that is
 /// still missing two seconds after the store's return is gone.
 const REGISTRATION_TIME: Duration = Duration::from_millis(1300);
+/// How long a server that left is remembered, so that an entry from an older copy of the store does
+/// not bring it back.
+const LEFT_MEMORY: Duration = Duration::from_secs(30);
+/// Number of heartbeats after the store came back from an older copy until the entries of servers
+/// that are gone have expired again.
+const OLDER_COPY_HEARTBEATS: u32 = 4;
 /// Number of heartbeats without a reading after which entries may have expired unnoticed.
 const EXPIRY_HEARTBEATS: u32 = 2;
 
@@ -40,9 +46,13 @@
 #[derive(Debug, Clone, Default)]
 pub struct RegistryView {
     servers: Vec<RegisteredServer>,
-    revision: u64,
+    /// Servers that left not long ago, with the time at which that was noticed.
+    left: Vec<(ServerEntry, Duration)>,
+    store_version: StoreVersion,
     read_at: Option<Duration>,
     outage_ended_at: Option<Duration>,
+    /// Time until which lists may hold entries from an older copy of the store.
+    older_copy_until: Duration,
 }
 
 impl RegistryView {
@@ -64,34 +74,65 @@
         self.read_at
     }
 
-    /// Returns the store's revision of the latest reading.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Returns the store's version of the latest reading.
+    pub fn store_version(&self) -> StoreVersion {
+        self.store_version
     }
 
     /// Applies a list that was current at `asked_at` and returns the changes.
     ///
     /// The list must be sorted by name, and `heartbeat` is the interval at which servers renew their
     /// entries. A list that is older than the latest one changes nothing.
+    ///
+    /// The first list of a new incarnation of the store comes from an older copy, until the servers
+    /// have written again: as after an outage, missing entries are retained for a while, and what
+    /// was known to leave stays out.
     pub fn apply_list(
         &mut self,
         list: Vec<ServerEntry>,
-        revision: u64,
+        store_version: StoreVersion,
         asked_at: Duration,
         heartbeat: Duration,
     ) -> Vec<RegistryChange> {
-        if revision < self.revision || self.read_at.is_some_and(|read_at| asked_at < read_at) {
+        if store_version < self.store_version
+            || self.read_at.is_some_and(|read_at| asked_at < read_at)
+        {
             return Vec::new();
         }
         let silence = self.read_at.map(|read_at| asked_at.saturating_sub(read_at));
-        if silence.is_some_and(|silence| silence > heartbeat * EXPIRY_HEARTBEATS) {
+        let came_back = silence.is_some_and(|silence| silence > heartbeat * EXPIRY_HEARTBEATS);
+        let older_copy =
+            silence.is_some() && store_version.incarnation > self.store_version.incarnation;
+        if came_back || older_copy {
             self.outage_ended_at = Some(asked_at);
         }
-        self.revision = revision;
+        if older_copy {
+            self.older_copy_until = asked_at + heartbeat * OLDER_COPY_HEARTBEATS;
+        }
+        self.left.retain(|(_, left_at)| asked_at.saturating_sub(*left_at) < LEFT_MEMORY);
+        self.store_version = store_version;
         self.read_at = Some(asked_at);
         self.merge(list, asked_at, self.retains_missing(asked_at))
     }
 
+    /// Returns whether an entry that lists a server as ready is outdated: the server was known to
+    /// leave or to be gone before the store came back.
+    fn comes_from_older_copy(
+        &self,
+        entry: &ServerEntry,
+        known: Option<&RegisteredServer>,
+        now: Duration,
+    ) -> bool {
+        if now >= self.older_copy_until {
+            return false;
+        }
+        let is_same =
+            |other: &ServerEntry| other.name == entry.name && other.born_ms == entry.born_ms;
+        let was_leaving =
+            known.is_some_and(|old| old.leaving_since.is_some() && is_same(&old.entry));
+        was_leaving || self.left.iter().any(|(left, _)| is_same(left))
+    }
+
     fn merge(
         &mut self,
         list: Vec<ServerEntry>,
@@ -109,18 +150,23 @@
                 || old.leaving_since.is_some_and(|since| now < since + REGISTRATION_TIME)
             {
                 self.servers.push(old.clone());
-            } else if old.leaving_since.is_none() {
-                changes.push(RegistryChange::Gone(old.entry.name.clone()));
+            } else {
+                self.left.push((old.entry.clone(), now));
+                if old.leaving_since.is_none() {
+                    changes.push(RegistryChange::Gone(old.entry.name.clone()));
+                }
             }
         }
         for entry in list {
             let known = before.iter().find(|old| old.entry.name == entry.name);
             let was_usable = known.is_some_and(|old| old.leaving_since.is_none());
+            let known_to_leave = known.and_then(|old| old.leaving_since);
             let leaving_since = match entry.state {
-                ServerState::Ready => None,
-                ServerState::Draining => {
-                    Some(known.and_then(|old| old.leaving_since).unwrap_or(now))
+                ServerState::Ready if self.comes_from_older_copy(&entry, known, now) => {
+                    Some(known_to_leave.unwrap_or(now))
                 }
+                ServerState::Ready => None,
+                ServerState::Draining => Some(known_to_leave.unwrap_or(now)),
             };
             match leaving_since {
                 None if !was_usable => changes.push(RegistryChange::Joined(entry.name.clone())),
--- a/crates/fl-routing/tests/registry_view.rs
+++ b/crates/fl-routing/tests/registry_view.rs
@@ -1,7 +1,7 @@
 //! Tests which registered servers may be used while servers leave, the store is unavailable and
 //! entries expire.
 
-use fl_protocol::forward::{ServerEntry, ServerState};
+use fl_protocol::forward::{ServerEntry, ServerState, StoreVersion};
 use fl_routing::registry_view::{RegistryChange, RegistryView};
 use std::time::Duration;
 
@@ -20,21 +20,31 @@
     }
 }
 
+fn version(incarnation: u64, revision: u64) -> StoreVersion {
+    StoreVersion { incarnation, revision }
+}
+
 struct Registry {
     view: RegistryView,
-    revision: u64,
+    version: StoreVersion,
 }
 
 impl Registry {
     fn new() -> Self {
-        Registry { view: RegistryView::default(), revision: 0 }
+        Registry { view: RegistryView::default(), version: StoreVersion::default() }
     }
 
     fn read(&mut self, at_ms: u64, entries: &[(&str, ServerState)]) -> Vec<RegistryChange> {
-        self.revision += 1;
+        self.version.revision += 1;
         let list = entries.iter().map(|(name, state)| entry(name, *state)).collect();
         let at = Duration::from_millis(at_ms);
-        self.view.apply_list(list, self.revision, at, HEARTBEAT)
+        self.view.apply_list(list, self.version, at, HEARTBEAT)
+    }
+
+    /// Lets the store come back from a copy that has lost some revisions.
+    fn come_back(&mut self, revisions_lost: u64) {
+        self.version.incarnation += 1;
+        self.version.revision -= revisions_lost;
     }
 
     fn usable(&self) -> Vec<&str> {
@@ -81,7 +91,8 @@
     registry.read(0, &[("a", READY)]);
     registry.read(900, &[("a", DRAINING)]);
     let older = vec![entry("a", READY)];
-    let changes = registry.view.apply_list(older, 1, Duration::from_millis(901), HEARTBEAT);
+    let changes =
+        registry.view.apply_list(older, version(0, 1), Duration::from_millis(901), HEARTBEAT);
     assert!(changes.is_empty());
     assert!(registry.usable().is_empty());
 }
@@ -93,3 +104,69 @@
     registry.read(900, &[("a", READY)]);
     assert_eq!(registry.usable(), ["a"]);
 }
+
+/// Guards against lists that are ignored after the store came back from an older copy, until its
+/// revisions have passed those of before.
+#[test]
+fn list_of_new_incarnation_applies() {
+    let mut registry = Registry::new();
+    for at_ms in [0, 300, 600, 900] {
+        registry.read(at_ms, &[("a", READY), ("b", READY)]);
+    }
+    registry.come_back(3);
+    registry.read(1_200, &[("a", DRAINING), ("b", READY)]);
+    assert_eq!(registry.usable(), ["b"]);
+}
+
+/// Nodes see incarnations out of order, through the replies of others.
+#[test]
+fn list_of_old_incarnation_ignored() {
+    let mut registry = Registry::new();
+    registry.read(0, &[("a", READY)]);
+    registry.come_back(0);
+    registry.read(300, &[("a", DRAINING)]);
+    let list = vec![entry("a", READY)];
+    let changes =
+        registry.view.apply_list(list, version(0, 900), Duration::from_millis(600), HEARTBEAT);
+    assert!(changes.is_empty() && registry.usable().is_empty());
+}
+
+/// Guards against calls to a server that was known to leave, or to be gone, before the store came
+/// back from a copy that lists it as ready.
+#[test]
+fn older_copy_brings_nobody_back() {
+    let mut registry = Registry::new();
+    registry.read(0, &[("a", READY), ("b", READY), ("c", READY)]);
+    registry.read(300, &[("a", DRAINING), ("c", READY)]);
+    registry.come_back(1);
+    for at_ms in [600, 900, 1_200] {
+        registry.read(at_ms, &[("a", READY), ("b", READY), ("c", READY)]);
+        assert_eq!(registry.usable(), ["c"], "at {at_ms} ms");
+    }
+}
+
+/// A server that is still listed once outdated entries have expired has come back itself.
+#[test]
+fn returned_server_used_again() {
+    let mut registry = Registry::new();
+    registry.read(0, &[("a", READY), ("b", READY)]);
+    registry.read(300, &[("b", READY)]);
+    registry.come_back(1);
+    registry.read(600, &[("a", READY), ("b", READY)]);
+    assert_eq!(registry.usable(), ["b"]);
+    registry.read(600 + 4 * HEARTBEAT.as_millis() as u64, &[("a", READY), ("b", READY)]);
+    assert_eq!(registry.usable(), ["a", "b"]);
+}
+
+/// Entries that are missing from the older copy are written again; one that is still missing later
+/// is gone.
+#[test]
+fn missing_entries_retained_after_older_copy() {
+    let mut registry = Registry::new();
+    registry.read(0, &[("a", READY), ("b", READY)]);
+    registry.come_back(0);
+    registry.read(300, &[("a", READY)]);
+    assert_eq!(registry.usable(), ["a", "b"]);
+    registry.read(2_300, &[("a", READY)]);
+    assert_eq!(registry.usable(), ["a"]);
+}
