Wait for a lost lease to end, and give no fencing token out twice, after the store came back

What the platform would see: a holder whose lease row is lost still acts while another node acquires the lease from the older copy, and both send the same fencing token.

Cause: the row of the copy was taken for the present state, and the next token was the row's plus one.

Change: a node that sees a new incarnation does not acquire the lease for a term and the allowed drift, since a holder renewed before the loss; a holder that sees one stops, also if its renewal took effect, since that may have replaced a row with the same revision. Tokens begin anew above 2^32 times the incarnation, so they exceed all that the store has lost. The own interface's store names no incarnation and keeps its tokens.

--- a/crates/fl-fleet/src/lease.rs
+++ b/crates/fl-fleet/src/lease.rs
@@ -12,6 +12,8 @@
 
 /// Allowed drift between two clocks during a term, as a divisor of the term.
 const DRIFT_DIVISOR: u32 = 10;
+/// Bits of a fencing token that count the holders within one incarnation of the store.
+const FENCING_BITS: u32 = 32;
 /// Number of renewals in one term; more than one, so that a lost renewal does not end the lease.
 const RENEWALS_PER_TERM: u32 = 3;
 
@@ -40,6 +42,10 @@
 pub struct Observed {
     row: Option<(u64, LeaseRow)>,
     unchanged_since: Duration,
+    /// The lease is not acquired before this time, as a holder of before may still act.
+    free_from: Duration,
+    /// The store's incarnation that the row was read in.
+    incarnation: u64,
 }
 
 /// State of a lease that this node acquired.
@@ -48,6 +54,8 @@
     row: LeaseRow,
     revision: u64,
     valid_until: Duration,
+    /// The store's incarnation that the lease was acquired in.
+    incarnation: u64,
 }
 
 /// A lease as one node knows it, in state `S`.
@@ -79,10 +87,23 @@
 impl Lease<Observed> {
     /// Creates a lease whose row has not been read yet.
     pub fn new(own: &str, term: Duration, now: Duration) -> Self {
-        let state = Observed { row: None, unchanged_since: now };
+        let state =
+            Observed { row: None, unchanged_since: now, free_from: Duration::ZERO, incarnation: 0 };
         Lease { own: own.to_string(), term, state }
     }
 
+    /// Notes the incarnation in which the store responds.
+    ///
+    /// A store that has come back from an older copy may have lost the row of a holder that still
+    /// acts. That holder renewed before the loss, so its lease ends within a term from now.
+    pub fn in_incarnation(mut self, now: Duration, incarnation: u64) -> Self {
+        if incarnation > self.state.incarnation {
+            self.state.incarnation = incarnation;
+            self.state.free_from = now + with_drift(self.term);
+        }
+        self
+    }
+
     /// Records the row, with its revision, as read at `now`; `None` stands for no row.
     pub fn observe(mut self, now: Duration, row: Option<(u64, LeaseRow)>) -> Self {
         let known = self.state.row.as_ref().map(|(revision, _)| *revision);
@@ -95,6 +116,9 @@
 
     /// Returns the write that acquires the lease, or `None` while another node may hold it.
     pub fn acquire_write(&self, now: Duration, nonce: u64) -> Option<LeaseWrite> {
+        if now < self.state.free_from {
+            return None;
+        }
         let (revision, fencing) = match &self.state.row {
             None => (0, 0),
             Some((revision, row)) if row.holder.is_empty() => (*revision, row.fencing),
@@ -108,7 +132,7 @@
         };
         let row = LeaseRow {
             holder: self.own.clone(),
-            fencing: fencing + 1,
+            fencing: fencing.max(first_fencing(self.state.incarnation)) + 1,
             term_ms: self.term.as_millis() as u64,
             nonce,
         };
@@ -120,7 +144,8 @@
     /// The term counts from `sent_at`, the time before the write was sent.
     pub fn into_held(self, sent_at: Duration, write: LeaseWrite, revision: u64) -> Lease<Held> {
         let valid_until = sent_at + self.term;
-        let state = Held { row: write.row, revision, valid_until };
+        let incarnation = self.state.incarnation;
+        let state = Held { row: write.row, revision, valid_until, incarnation };
         Lease { own: self.own, term: self.term, state }
     }
 }
@@ -174,7 +199,8 @@
         match found {
             Some((revision, row)) if row == write.row => {
                 let valid_until = sent_at + self.term;
-                let state = Held { row, revision, valid_until };
+                let incarnation = self.state.incarnation;
+                let state = Held { row, revision, valid_until, incarnation };
                 RenewalOutcome::Held(Lease { state, ..self })
             }
             Some((revision, _)) if revision == self.state.revision => RenewalOutcome::Held(self),
@@ -184,14 +210,31 @@
 
     /// Stops holding the lease and observes the row again.
     pub fn into_observed(self, now: Duration, row: Option<(u64, LeaseRow)>) -> Lease<Observed> {
-        let state = Observed { row, unchanged_since: now };
+        let incarnation = self.state.incarnation;
+        let free_from = Duration::ZERO;
+        let state = Observed { row, unchanged_since: now, free_from, incarnation };
         Lease { own: self.own, term: self.term, state }
     }
+
+    /// Returns the store's incarnation that the lease was acquired in. The lease ends when the store
+    /// responds in a later one, since its row may be lost there.
+    pub fn incarnation(&self) -> u64 {
+        self.state.incarnation
+    }
 }
 
 /// Returns the time for which a row must stay unchanged before an observer takes over: the term
 /// plus the allowed drift.
 pub fn takeover_wait(row: &LeaseRow) -> Duration {
-    let term = Duration::from_millis(row.term_ms);
+    with_drift(Duration::from_millis(row.term_ms))
+}
+
+fn with_drift(term: Duration) -> Duration {
     term + term / DRIFT_DIVISOR
 }
+
+/// Returns the least fencing token of an incarnation, less one. All tokens of earlier incarnations
+/// are less, also those that the store has lost.
+fn first_fencing(incarnation: u64) -> FencingToken {
+    incarnation << FENCING_BITS
+}
--- a/crates/fl-fleet/tests/lease.rs
+++ b/crates/fl-fleet/tests/lease.rs
@@ -71,6 +71,27 @@
     assert_eq!(matches!(after, RenewalOutcome::Held(_)), still_held);
 }
 
+/// Guards against a lease that is acquired while a holder, whose row the store has lost, still acts.
+#[rstest]
+#[case::no_row(None)]
+#[case::released(Some(row("", 4)))]
+#[case::held_before(Some(row("a", 4)))]
+fn older_copy_delays_takeover(#[case] found: Option<LeaseRow>) {
+    let lease = observed().observe(seconds(50), None).in_incarnation(seconds(100), 1);
+    let lease = lease.observe(seconds(100), found.map(|row| (7, row)));
+    assert_eq!(lease.acquire_write(seconds(110), 2), None);
+    assert!(lease.acquire_write(seconds(111), 2).is_some());
+}
+
+/// Guards against a fencing token that is given out twice, since the store lost the first holder.
+#[test]
+fn fencing_grows_with_incarnation() {
+    let before = observed().observe(seconds(50), Some((7, row("", 900))));
+    let before = before.acquire_write(seconds(50), 2).unwrap().row.fencing;
+    let after = observed().in_incarnation(seconds(100), 1).observe(seconds(100), None);
+    assert!(after.acquire_write(seconds(111), 2).unwrap().row.fencing > before);
+}
+
 /// A contender for the lease with its own clock (rate in per mille), pauses and lost responses.
 struct Contender {
     rate: u32,
--- a/crates/fl-forward/src/duties.rs
+++ b/crates/fl-forward/src/duties.rs
@@ -110,18 +110,23 @@
     let Ok(row) = node.platform.store.read_row(DUTY_TABLE, LEASE_KEY).await else {
         return LeaseState::Observing(lease);
     };
-    let lease = lease.observe(boot_time(), row.as_ref().and_then(parse_row));
+    let lease = lease
+        .in_incarnation(boot_time(), store_incarnation(node))
+        .observe(boot_time(), row.as_ref().and_then(parse_row));
     let Some(lease_write) = lease.acquire_write(boot_time(), rand::random()) else {
         return LeaseState::Observing(lease);
     };
+    let incarnation = store_incarnation(node);
     let sent_at = boot_time();
     match write_lease(node, &lease_write).await {
-        Ok(WriteOutcome::Written(revision)) => {
+        Ok(WriteOutcome::Written(revision)) if !is_store_newer(node, incarnation) => {
             let fencing = lease_write.row.fencing;
             let holder = &node.settings.vm;
             record_lease_change(node, "acquired", holder, fencing);
             LeaseState::Holding(lease.into_held(sent_at, lease_write, revision))
         }
+        // The write took effect in a later incarnation, whose holders this node does not know.
+        Ok(WriteOutcome::Written(_)) => LeaseState::Observing(lease),
         Ok(WriteOutcome::Conflict(row)) => {
             LeaseState::Observing(lease.observe(boot_time(), row.as_ref().and_then(parse_row)))
         }
@@ -134,6 +139,9 @@
     let Ok(fencing) = lease.fencing_token(boot_time()) else {
         return LeaseState::Observing(stop_holding(node, lease, None));
     };
+    if is_store_newer(node, lease.incarnation()) {
+        return LeaseState::Observing(stop_holding(node, lease, None));
+    }
     let duty_lease = DutyLease { holder: node.settings.vm.clone(), fencing };
     if let Err(PlatformError::StaleFencingToken) = work.perform(node, &duty_lease).await {
         return LeaseState::Observing(stop_holding(node, lease, None));
@@ -182,6 +190,10 @@
             Err(_) => return LeaseState::Holding(lease),
         },
     };
+    // The renewal may have replaced the row of another holder, whose revision has the same number.
+    if is_store_newer(node, lease.incarnation()) {
+        return LeaseState::Observing(stop_holding(node, lease, None));
+    }
     match lease.resolve_write(boot_time(), sent_at, &lease_write, current) {
         RenewalOutcome::Held(lease) => LeaseState::Holding(lease),
         RenewalOutcome::Lost(lease) => {
@@ -191,6 +203,16 @@
     }
 }
 
+/// Returns the store's newest incarnation; 0 before its first response.
+fn store_incarnation(node: &Node) -> u64 {
+    node.platform.store.incarnation().unwrap_or(0)
+}
+
+/// Returns whether the store has responded in a later incarnation.
+fn is_store_newer(node: &Node, incarnation: u64) -> bool {
+    store_incarnation(node) > incarnation
+}
+
 fn record_lease_change(node: &Node, change: &'static str, holder: &str, fencing: u64) {
     metrics::counter!("fl_lease_changes_total", "change" => change).increment(1);
     node.log.write(&LeaseChanged { change, holder, fencing });
--- a/crates/fl-forward/tests/route_table_reads.rs
+++ b/crates/fl-forward/tests/route_table_reads.rs
@@ -84,8 +84,8 @@
         Ok(GatedStore::read(self.0.clone()).await)
     }
 
-    fn incarnation(&self) -> u64 {
-        0
+    fn incarnation(&self) -> Option<u64> {
+        Some(0)
     }
 
     async fn wait_for_route_table(
--- a/crates/fl-forward/tests/support/node.rs
+++ b/crates/fl-forward/tests/support/node.rs
@@ -114,8 +114,8 @@
         refuse()
     }
 
-    fn incarnation(&self) -> u64 {
-        0
+    fn incarnation(&self) -> Option<u64> {
+        Some(0)
     }
 
     async fn wait_for_route_table(
--- a/crates/fl-kernel/src/forward.rs
+++ b/crates/fl-kernel/src/forward.rs
@@ -90,8 +90,9 @@
 pub trait PlatformStore: Send + Sync {
     /// Reads the operators' whole document.
     async fn read_route_table(&self) -> Result<RouteTableRead, PlatformError>;
-    /// Returns the greatest incarnation that any response of the store has named.
-    fn incarnation(&self) -> u64;
+    /// Returns the greatest incarnation that any response of the store has named, `None` before the
+    /// first response.
+    fn incarnation(&self) -> Option<u64>;
     /// Waits up to `wait` for a change of the operators' document after a version, and returns when
     /// the store begins to respond.
     ///
