Report no window again that may have been reported before the store came back

What the platform would see: the next holder reads the copy's row of the last report and reports all windows since once more; counts may have changed meanwhile, and two reports of one window with different counts are not allowed.

Cause: the row in the store was taken for all that was ever reported.

Change: a holder that stored a later report itself goes on from that one and keeps whether it was sent. Any other holder leaves out the windows that had ended when it saw the store come back; they may be missing, which costs less than a contradiction. A node remembers when it saw the incarnation rise; the first one it sees after its start counts as no rise, so a node that starts after the loss is not covered.

--- a/crates/fl-forward/src/duties.rs
+++ b/crates/fl-forward/src/duties.rs
@@ -80,6 +80,9 @@
         if node.settings.orders_fleet {
             scaling::measure_demand(&node, &mut work.orders);
         }
+        if let Some(incarnation) = node.platform.store.incarnation() {
+            node.note_incarnation(incarnation);
+        }
         lease_state = match lease_state {
             LeaseState::Observing(lease) => try_acquire(&node, lease).await,
             LeaseState::Holding(lease) => perform_and_renew(&node, lease, &mut work).await,
--- a/crates/fl-forward/src/duties/usage_reports.rs
+++ b/crates/fl-forward/src/duties/usage_reports.rs
@@ -13,6 +13,8 @@
 use std::time::Duration;
 
 const USAGE_KEY: &str = "usage";
+/// Windows that the last report may lie before the current one while nothing is amiss.
+const KNOWN_WINDOWS: u64 = 2;
 /// Shortest wait after a window's end for the peers' counts.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
 /// A report that would be overdue within this time is sent without waiting for silent peers.
@@ -40,7 +42,8 @@
     reports: &mut ReportState,
 ) -> Result<(), PlatformError> {
     if reports.fencing != duty_lease.fencing {
-        *reports = load_last(node, duty_lease.fencing).await?;
+        let own_last = reports.last.take().map(|last| (last.report, reports.is_sent));
+        *reports = load_last(node, duty_lease.fencing, own_last).await?;
     }
     if !reports.is_sent {
         return send_last(node, duty_lease, reports).await;
@@ -52,13 +55,45 @@
 }
 
 /// Reads the previous holder's last report. It is sent again, as it may not have arrived.
-async fn load_last(node: &Node, fencing: u64) -> Result<ReportState, PlatformError> {
+///
+/// `own_last` is the last report that this node stored itself, and whether it was sent. It is newer
+/// than that of the row if the store has come back from an older copy.
+async fn load_last(
+    node: &Node,
+    fencing: u64,
+    own_last: Option<(WindowCounts, bool)>,
+) -> Result<ReportState, PlatformError> {
     let row = node.platform.store.read_row(DUTY_TABLE, USAGE_KEY).await?;
-    let Some(row) = row else { return Ok(ReportState { last: None, is_sent: true, fencing }) };
-    let report = serde_json::from_str(&row.value)
-        .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
-    let last = Some(StoredReport { report, revision: row.revision });
-    Ok(ReportState { last, is_sent: false, fencing })
+    let revision = row.as_ref().map_or(0, |row| row.revision);
+    let stored: Option<WindowCounts> = match &row {
+        None => None,
+        Some(row) => Some(
+            serde_json::from_str(&row.value)
+                .map_err(|error| PlatformError::Unreadable(error.to_string()))?,
+        ),
+    };
+    let newer =
+        own_last.filter(|(own, _)| stored.as_ref().is_none_or(|row| own.window > row.window));
+    let (last, is_sent) = match (newer, stored) {
+        (Some((own, is_sent)), _) => (Some(own), is_sent),
+        (None, Some(row)) => (Some(row), false),
+        (None, None) => (None, true),
+    };
+    let last = last.map(|report| StoredReport { report, revision });
+    Ok(ReportState { last, is_sent, fencing })
+}
+
+/// Returns the first window that may be reported after the store came back from an older copy.
+///
+/// The rows of reports sent shortly before are lost. A window that had ended by then may have been
+/// reported, and its counts may have changed since, so a second report could contradict the first.
+/// A node that sent reports until then itself knows them.
+fn first_reportable_window(node: &Node, reports: &ReportState) -> Option<u64> {
+    let since = boot_time().saturating_sub(node.store_came_back_at()?);
+    let came_back_ms = unix_ms().saturating_sub(since.as_millis() as u64);
+    let window = window_number(came_back_ms, node.settings.bounds.usage_window);
+    let is_known = |last: &StoredReport| last.report.window + KNOWN_WINDOWS >= window;
+    (!reports.last.as_ref().is_some_and(is_known)).then_some(window)
 }
 
 /// Returns the window whose report is due, if any.
@@ -69,6 +104,7 @@
     let current = window_number(now_ms, bounds.usage_window);
     let overdue = bounds.usage_delay.as_millis() as u64 / length_ms.max(1);
     let oldest = current.saturating_sub(overdue);
+    let oldest = first_reportable_window(node, reports).map_or(oldest, |first| first.max(oldest));
     let window = reports.last.as_ref().map_or(oldest, |last| (last.report.window + 1).max(oldest));
     let ended_ms = now_ms.checked_sub((window + 1) * length_ms)?;
     let since_end = Duration::from_millis(ended_ms);
--- a/crates/fl-forward/src/node.rs
+++ b/crates/fl-forward/src/node.rs
@@ -13,8 +13,9 @@
 use crate::shared_reads::ReadIntervals;
 use crate::usage::UsageCounts;
 use fl_kernel::forward::{CallCodec, ForwardSettings, PlatformDuties, PlatformStore};
+use parking_lot::Mutex;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
@@ -66,7 +67,16 @@
     pub started_at: Duration,
     leaving: AtomicBool,
     active_calls: AtomicUsize,
-    incarnation: AtomicU64,
+    incarnation: Mutex<SeenIncarnation>,
+}
+
+/// The incarnation of the store as this node has seen it.
+#[derive(Debug, Default)]
+struct SeenIncarnation {
+    /// The greatest incarnation; `None` before the first response.
+    newest: Option<u64>,
+    /// The boot time at which it rose; `None` if the first one is still the newest.
+    risen_at: Option<Duration>,
 }
 
 /// Counts a call as active until it is dropped.
@@ -93,7 +103,7 @@
             started_at: boot_time(),
             leaving: AtomicBool::new(false),
             active_calls: AtomicUsize::new(0),
-            incarnation: AtomicU64::new(0),
+            incarnation: Mutex::default(),
         }
     }
 
@@ -118,10 +128,17 @@
 
     /// Notes the store's incarnation of a response, and logs a new one.
     pub fn note_incarnation(&self, incarnation: u64) {
-        let previous = self.incarnation.fetch_max(incarnation, Ordering::Relaxed);
-        if incarnation > previous {
-            self.log.write(&StoreIncarnationSeen { incarnation, previous });
-        }
+        let mut seen = self.incarnation.lock();
+        let previous = seen.newest;
+        seen.newest = previous.max(Some(incarnation));
+        let Some(previous) = previous.filter(|previous| incarnation > *previous) else { return };
+        seen.risen_at = Some(boot_time());
+        self.log.write(&StoreIncarnationSeen { incarnation, previous });
+    }
+
+    /// Returns when this node saw that the store had come back from an older copy, if it did.
+    pub fn store_came_back_at(&self) -> Option<Duration> {
+        self.incarnation.lock().risen_at
     }
 
     /// Sleeps for a time; returns `None` if the node is cancelled meanwhile.
