Register a node again when the store has lost its row

What nodes would see after the store came back from an older copy: rows of nodes that started since the copy are gone, so nodes that start later do not find them by the list.

Cause: a node wrote its row once and never looked for it again.

Change: a node that does not find its row in the list of nodes writes it again, and the list is read at once when the incarnation rises instead of up to 15 s later.

Test: nodes_register_again (process test) failed before.

--- a/crates/fl-forward/src/peers/discovery.rs
+++ b/crates/fl-forward/src/peers/discovery.rs
@@ -31,12 +31,23 @@
                 RETRY_DELAY
             }
         };
-        if node.sleep(delay).await.is_none() {
+        if wait_for_next_read(&node, delay).await.is_none() {
             return;
         }
     }
 }
 
+/// Waits for a time, or until the store comes back from an older copy, which may lack the rows of
+/// nodes. Returns `None` if the node is cancelled meanwhile.
+async fn wait_for_next_read(node: &Node, time: Duration) -> Option<()> {
+    let known = node.platform.store.incarnation();
+    let end = tokio::time::Instant::now() + time;
+    while tokio::time::Instant::now() < end && node.platform.store.incarnation() == known {
+        node.sleep(RETRY_DELAY.min(time)).await?;
+    }
+    Some(())
+}
+
 /// Registers this node unless that is done, and adds the nodes of the list as peers.
 async fn register_and_read(
     node: &Node,
@@ -60,6 +71,10 @@
         }
     }
     let rows = store.read_rows(NODE_TABLE).await.map_err(|error| error.to_string())?;
+    if !rows.iter().any(|row| row.key == *vm) {
+        *revision = None;
+        return Err("the row of this node is lost; it is written again".to_string());
+    }
     for address in rows.iter().filter_map(|row| row.value.parse().ok()) {
         node.peers.add_peer(address);
     }
