--- a/crates/fl-forward/src/node.rs
+++ b/crates/fl-forward/src/node.rs
@@ -5,6 +5,7 @@
 use crate::connection_pool::{Connection, ConnectionPool, idle_connections_max};
 use crate::duties::DutyLeaseState;
 use crate::log::Log;
+use crate::log::event::StoreIncarnationSeen;
 use crate::peers::Peers;
 use crate::retry_budget::RetryBudgets;
 use crate::route_table::ActiveRouteTable;
@@ -12,6 +13,7 @@
 use crate::shared_reads::ReadIntervals;
 use crate::usage::UsageCounts;
 use fl_kernel::forward::{CallCodec, ForwardSettings, PlatformDuties, PlatformStore};
+use parking_lot::Mutex;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -65,6 +67,16 @@
     pub started_at: Duration,
     leaving: AtomicBool,
     active_calls: AtomicUsize,
+    incarnation: Mutex<SeenIncarnation>,
+}
+
+/// The incarnation of the store as this node has seen it.
+#[derive(Debug, Default)]
+struct SeenIncarnation {
+    /// The greatest incarnation; `None` before the first response.
+    newest: Option<u64>,
+    /// The boot time at which it rose; `None` if the first one is still the newest.
+    risen_at: Option<Duration>,
 }
 
 /// Counts a call as active until it is dropped.
@@ -91,6 +103,7 @@
             started_at: boot_time(),
             leaving: AtomicBool::new(false),
             active_calls: AtomicUsize::new(0),
+            incarnation: Mutex::default(),
         }
     }
 
@@ -113,6 +126,21 @@
         metrics::counter!("fl_store_calls_total", &labels).increment(1);
     }
 
+    /// Notes the store's incarnation of a response, and logs a new one.
+    pub fn note_incarnation(&self, incarnation: u64) {
+        let mut seen = self.incarnation.lock();
+        let previous = seen.newest;
+        seen.newest = previous.max(Some(incarnation));
+        let Some(previous) = previous.filter(|previous| incarnation > *previous) else { return };
+        seen.risen_at = Some(boot_time());
+        self.log.write(&StoreIncarnationSeen { incarnation, previous });
+    }
+
+    /// Returns when this node saw that the store had come back from an older copy, if it did.
+    pub fn store_came_back_at(&self) -> Option<Duration> {
+        self.incarnation.lock().risen_at
+    }
+
     /// Sleeps for a time; returns `None` if the node is cancelled meanwhile.
     pub async fn sleep(&self, time: Duration) -> Option<()> {
         self.cancel.run_until_cancelled(tokio::time::sleep(time)).await
