Move what is known of a server and of a peer into modules of their own

No behaviour changes: the structs, their methods and the constants that only they use move to servers/known_server.rs and peers/peer.rs.

--- a/crates/fl-forward/src/peers.rs
+++ b/crates/fl-forward/src/peers.rs
@@ -6,12 +6,14 @@
 
 mod discovery;
 mod exchange;
+mod peer;
 mod report;
 
 pub use discovery::discover;
 pub use exchange::{Datagram, receive, send_reports};
 pub use report::PeerReport;
 
+use peer::Peer;
 use report::{demand_added, instance_id};
 
 use crate::clock::boot_time;
@@ -41,27 +43,11 @@
 const REPORTS_MISSED: u32 = 4;
 /// Least time without a report until a peer counts as silent, however short the interval is.
 const SILENCE_MIN: Duration = Duration::from_millis(1000);
-/// How long a silent peer counts as admitting calls. After that its route table is too old to
-/// accept API keys.
-const SILENT_ADMITTING_MAX: Duration = Duration::from_secs(6);
 /// How long a silent peer is remembered, so that its usage counts are reported.
 const SILENT_PEER_RETENTION: Duration = Duration::from_secs(30);
 /// Earlier process instances of a peer whose usage counts are kept.
 const INSTANCES_KEPT: usize = 3;
 
-/// A peer and its last report.
-#[derive(Debug, Clone)]
-struct Peer {
-    address: SocketAddr,
-    /// The hash of the address, by which nodes are ranked for the limits of servers.
-    address_hash: u64,
-    reported_at: Option<Duration>,
-    is_silent: bool,
-    report: PeerReport,
-    /// Usage counts of earlier process instances that may not have been reported yet.
-    earlier_usage: Vec<Vec<WindowCounts>>,
-}
-
 /// The other nodes, with their last reports.
 pub struct Peers {
     own_address: SocketAddr,
@@ -276,32 +262,3 @@
         self.state.lock().peers.iter().map(|peer| peer.address).collect()
     }
 }
-
-impl Peer {
-    fn new(address: SocketAddr) -> Self {
-        Peer {
-            address,
-            address_hash: name_hash(&address.to_string()),
-            reported_at: None,
-            is_silent: true,
-            report: PeerReport::default(),
-            earlier_usage: Vec::new(),
-        }
-    }
-
-    /// Returns the usage counts of all its process instances.
-    fn usage(&self) -> Vec<Vec<WindowCounts>> {
-        let mut usage = self.earlier_usage.clone();
-        usage.push(self.report.usage.clone());
-        usage
-    }
-
-    /// Returns the time since the last report, 0 if there was none.
-    fn silence(&self, now: Duration) -> Duration {
-        self.reported_at.map_or(Duration::ZERO, |reported_at| now.saturating_sub(reported_at))
-    }
-
-    fn may_admit(&self, now: Duration) -> bool {
-        self.reported_at.is_some() && self.report.admits && self.silence(now) < SILENT_ADMITTING_MAX
-    }
-}
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -1,6 +1,7 @@
 //! The backend servers that this node knows, with estimates of their load and their recent
 //! failures.
 
+mod known_server;
 mod load;
 mod notices;
 mod registry;
@@ -9,27 +10,24 @@
 pub use notices::{AdmittingNodes, ReportedNotices, apply_reported_notices, note_response};
 pub use registry::{apply_list, watch};
 
+use known_server::KnownServer;
+
 use crate::clock::boot_time;
 use fl_kernel::forward::ServerList;
-use fl_limits::{SendDenial, ServerNotices};
+use fl_limits::SendDenial;
 use fl_protocol::forward::{ModelCall, ServerEntry, ServerName};
 use fl_protocol::{DataCenterName, ServiceName};
 use fl_routing::placement::{
     Candidate, Placement, PlacementRequest, PrefillRate, ServerLoad, place,
 };
 use fl_routing::registry_view::RegistryView;
-use fl_routing::rendezvous::name_hash;
 use parking_lot::Mutex;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Added to a server's failure score for each failure.
-const FAILURE_SCORE_STEP: f64 = 0.35;
 /// Failure score of a server whose data centre seems unreachable. Placement uses it only when the
 /// others are full.
 const UNREACHABLE_ZONE_SCORE: f64 = 1.0;
-/// Time in which a failure score halves.
-const FAILURE_SCORE_HALF_LIFE: Duration = Duration::from_millis(1500);
 
 /// The backend servers that this node knows.
 #[derive(Default)]
@@ -57,22 +55,6 @@
     invalid_entries: Vec<String>,
 }
 
-/// What this node knows of one server beyond its registry entry.
-struct KnownServer {
-    name: ServerName,
-    /// This node's calls in flight at the server.
-    own: InFlightLoad,
-    /// The peers' calls in flight at the server, from their last reports.
-    peers: InFlightLoad,
-    /// Start of its instance, in Unix milliseconds, if its entry says so.
-    born_ms: Option<u64>,
-    /// What it asked of this node in its responses.
-    notices: ServerNotices,
-    /// Raised by failures; it decays from the value at `failure_score_at`.
-    failure_score: f64,
-    failure_score_at: Duration,
-}
-
 /// Why no server can take a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoServer {
@@ -217,11 +199,7 @@
 
     /// Raises the failure score of a server that failed a call.
     pub fn record_failure(&self, server: &str) {
-        let now = boot_time();
-        self.with_known(server, |known| {
-            known.failure_score = (known.current_failure_score(now) + FAILURE_SCORE_STEP).min(1.0);
-            known.failure_score_at = now;
-        });
+        self.with_known(server, |known| known.record_failure(boot_time()));
     }
 
     fn record_demand(&self, service: &str, tokens: u64) {
@@ -290,45 +268,3 @@
         }
     }
 }
-
-impl KnownServer {
-    fn new(name: &str, born_ms: Option<u64>) -> Self {
-        KnownServer {
-            name: name.to_string(),
-            own: InFlightLoad::idle(name_hash(name)),
-            peers: InFlightLoad::idle(name_hash(name)),
-            born_ms,
-            notices: ServerNotices::default(),
-            failure_score: 0.0,
-            failure_score_at: Duration::ZERO,
-        }
-    }
-
-    fn name_hash(&self) -> u64 {
-        self.own.name_hash
-    }
-
-    /// Forgets what an earlier instance of the server asked.
-    fn set_instance(&mut self, born_ms: Option<u64>) {
-        if self.born_ms != born_ms {
-            self.born_ms = born_ms;
-            self.notices = ServerNotices::default();
-        }
-    }
-
-    fn load(&self, now: Duration) -> ServerLoad {
-        let mut load = self.own;
-        load.add(&self.peers);
-        ServerLoad {
-            in_flight: load.in_flight,
-            pending_prefill_tokens: load.pending_prefill_tokens,
-            urgent_pending_prefill_tokens: load.urgent_prefill_tokens,
-            failure_score: self.current_failure_score(now),
-        }
-    }
-
-    fn current_failure_score(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.failure_score_at).as_secs_f64();
-        self.failure_score * 0.5_f64.powf(age / FAILURE_SCORE_HALF_LIFE.as_secs_f64())
-    }
-}
