Release no lease after the store came back from an older copy

What could happen: a node that stops releases its lease by the revision it knows. In a new incarnation that number may belong to the row of another holder, which would be released while it acts. The release is left out then; the row expires by itself. Found by reading, not seen.

--- a/crates/fl-forward/src/duties.rs
+++ b/crates/fl-forward/src/duties.rs
@@ -98,7 +98,10 @@
 /// Releases the lease, so that a peer need not wait until it expires.
 pub async fn release_lease(node: &Node) {
     let held = node.duty_lease.held.lock().take();
-    if let Some((lease, nonce)) = held {
+    // After the store came back, the row may be that of another holder with the same revision.
+    if let Some((lease, nonce)) =
+        held.filter(|(lease, _)| !is_store_newer(node, lease.incarnation()))
+    {
         let lease_write = lease.release_write(nonce);
         // If the release is lost, the peers wait for the lease's term.
         let _ = write_lease(node, &lease_write).await;
