Pause before the table is read again because the store has no history

What the store saw: while it answers each wait for changes with 410, every node that reads it asks without a pause, 295 calls a second and node against the stand-in; the largest site allows 6,000 a second for 78 nodes.

Cause: history that is gone was the only failure without a pause, since the whole read that follows was taken for the pause.

Change: 100 ms before the whole read, a twentieth of the propagation bound.

--- a/crates/fl-forward/src/route_table/reads.rs
+++ b/crates/fl-forward/src/route_table/reads.rs
@@ -20,6 +20,8 @@
 const DEPENDENCY: &str = "operators' table";
 /// Shortest sleep before a node checks the table's age again.
 const SLEEP_MIN: Duration = Duration::from_millis(10);
+/// Pause before the whole table is read because the store has no history of its changes.
+const HISTORY_GONE_DELAY: Duration = Duration::from_millis(100);
 /// Pause after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -170,7 +172,11 @@
                 self.after = Some(version);
                 self.end_outage();
             }
-            Err(PlatformError::HistoryGone) => self.after = None,
+            Err(PlatformError::HistoryGone) => {
+                self.after = None;
+                // A store without history refuses each wait; the reads in between must not flood it.
+                tokio::time::sleep(HISTORY_GONE_DELAY).await;
+            }
             Err(error) => {
                 self.note_failure(error.to_string(), started_at);
                 tokio::time::sleep(RETRY_DELAY).await;
