--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,11 +1,12 @@
 #!/usr/bin/env bash
-# Runs all tests except those listed in KNOWN-RED.txt, and prints that list.
+# Runs all tests except those listed in KNOWN-RED.txt, and prints that list. Its lines that begin
+# with "hunt:" name days of the bench, which no test plays.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 skip=()
 if [ -s KNOWN-RED.txt ]; then
-  echo "skipped, known to fail (KNOWN-RED.txt):"
+  echo "known to fail (KNOWN-RED.txt), of which tests are skipped:"
   cat KNOWN-RED.txt
   while read -r word name _; do
     [ "$word" = "test:" ] && skip+=(--skip "$name")
