--- a/crates/fl-forward/src/forwarding.rs
+++ b/crates/fl-forward/src/forwarding.rs
@@ -12,7 +12,8 @@
 use bytes::Bytes;
 use fl_kernel::forward::Refusal;
 use fl_limits::SlidingRetryBudget;
-use fl_protocol::forward::{CallHead, CallKind, ServerName};
+use fl_protocol::Fingerprint;
+use fl_protocol::forward::{CallHead, CallKind, ModelCall, ServerName};
 use http::{HeaderMap, StatusCode, request};
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +24,9 @@
 /// Retry delay given to callers when no backend server took the call.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Most prompt parts that one log line names.
+const LOGGED_PARTS_MAX: usize = 8;
+
 /// A call that is being forwarded.
 pub struct Call {
     /// The decoded head of the caller's request.
@@ -35,6 +39,8 @@
     pub body: Bytes,
     /// The route, service, deadline and rank decided at admission.
     pub admission: Admission,
+    /// Hash of its method, path, workspace and body.
+    pub fingerprint: Fingerprint,
 }
 
 /// The attempts of a call so far.
@@ -164,10 +170,18 @@
         failure: failure.reason,
         error: &failure.error,
         may_have_run: failure.may_have_run,
+        content: &format!("{:016x}", call.fingerprint),
+        prompt_parts: &logged_parts(call),
         after_ms: duration.as_millis() as u64,
     });
 }
 
+/// Returns the first prompt parts of a call that other calls may share, for the log.
+fn logged_parts(call: &Call) -> Vec<String> {
+    let parts = call.head.model.iter().flat_map(ModelCall::shared_parts);
+    parts.take(LOGGED_PARTS_MAX).map(|part| format!("{:x}", part.id)).collect()
+}
+
 /// Returns the refusal of a call that is not retried.
 ///
 /// The status is 503 only if the call certainly did not run, otherwise 502.
--- a/crates/fl-forward/src/http_server.rs
+++ b/crates/fl-forward/src/http_server.rs
@@ -2,7 +2,7 @@
 
 mod response;
 
-use crate::admission::admit;
+use crate::admission::{Admission, admit};
 use crate::backend_response::BackendResponse;
 use crate::connection_pool::set_socket_options;
 use crate::connection_timeouts::{ConnectionTimer, TimedConnection};
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use fl_kernel::forward::Refusal;
 use fl_protocol::forward::{CallHead, RequestLimits};
+use fl_protocol::{Fingerprint, hash64};
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
@@ -105,6 +106,7 @@
     record.admission = Some(admission.clone());
     let body = read_body(body, limits, admission.deadline).await.map_err(before_sending)?;
     let call = Call {
+        fingerprint: fingerprint(&parts, &admission, &body),
         head: record.head.clone(),
         forwarded_headers: node.platform.codec.forwarded_headers(&parts.headers),
         parts,
@@ -114,6 +116,15 @@
     forward_call(&node, Arc::new(call)).await
 }
 
+/// Returns the hash of what stays the same when a caller sends a call again.
+fn fingerprint(parts: &http::request::Parts, admission: &Admission, body: &Bytes) -> Fingerprint {
+    let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+    let workspace = admission.workspace.as_deref().unwrap_or_default();
+    let (method, host) = (parts.method.as_str(), &admission.route.host);
+    let fields = [method, host, path, workspace].map(str::as_bytes);
+    hash64(&[&fields[..], &[body.as_ref()]].concat())
+}
+
 /// Refuses a request whose announced length is too large, before its body is read.
 fn check_length(headers: &http::HeaderMap, limits: RequestLimits) -> Result<(), Refusal> {
     let announced = headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
--- a/crates/fl-forward/src/log/event/call.rs
+++ b/crates/fl-forward/src/log/event/call.rs
@@ -57,6 +57,10 @@
     pub error: &'a str,
     /// Whether the call may have run at the server.
     pub may_have_run: bool,
+    /// The fingerprint of the call's path, workspace and body, as hexadecimal digits.
+    pub content: &'a str,
+    /// The ids of the first prompt parts that other calls may share, as hexadecimal digits.
+    pub prompt_parts: &'a [String],
     /// Time from sending the call until the failure.
     pub after_ms: u64,
 }
--- a/crates/fl-protocol/src/forward.rs
+++ b/crates/fl-protocol/src/forward.rs
@@ -182,12 +182,16 @@
 }
 
 impl ModelCall {
+    /// Returns the parts that other calls may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the last part that other calls share.
     ///
     /// It decides on which server the cached prefix of the prompt is worth keeping.
     pub fn shared_part(&self) -> Option<PromptPart> {
-        let last_shared = self.parts.len().checked_sub(2)?;
-        self.parts.get(last_shared).copied()
+        self.shared_parts().last().copied()
     }
 }
 
