Quarantine prompt parts and contents that crash servers, over all nodes

Cause: the path of forwarded calls took the end of a server for a failure of that server alone. Nothing compared what the calls on ended servers had in common, at one node or over all; the own interface's quarantine by fingerprint was never joined to this path. Class: evidence that no single call or node holds. The same class: a call that comes again with the same content, which this path did not know either.

Nodes now merge crashes by prompt part and by content, and answered calls clear what they held. The suspects that explain the crashes with most of them are quarantined after four separate crashes (contents: three), refused before they take from the quota, repeated to peers every second and stored for a fleet that starts anew. A call that may have ended two servers is not sent to a third.

--- a/crates/fl-forward/src/admission.rs
+++ b/crates/fl-forward/src/admission.rs
@@ -1,6 +1,7 @@
 //! Admission of calls by route, API key and the workspace's quota.
 
 use crate::clock::boot_time;
+use crate::crash_suspects::{self, part_keys};
 use crate::log::event::QuotaShort;
 use crate::node::Node;
 use fl_kernel::forward::{ForwardBounds, ForwardSettings, Refusal};
@@ -151,6 +152,7 @@
     let route = table.route(&head.host, &head.path);
     let route = route.ok_or_else(|| final_refusal(StatusCode::NOT_FOUND, "no such route"))?;
     let workspace = find_workspace(node, &table, route, head)?;
+    crash_suspects::check(node, &part_keys(head.model.as_ref()))?;
     if let Some(workspace) = workspace {
         let take_result = node.quotas.try_take(&workspace.name, quota_units(workspace, head));
         let is_scarce = take_result.map_err(|shortage| {
--- a/crates/fl-forward/src/attempt.rs
+++ b/crates/fl-forward/src/attempt.rs
@@ -5,7 +5,7 @@
 use crate::node::Node;
 use crate::servers::{ChosenServer, InFlightCall, NoServer, note_response};
 use fl_kernel::forward::{Refusal, ResponseHead, SendOptions};
-use fl_protocol::forward::ServerName;
+use fl_protocol::forward::ServerEntry;
 use http::Response;
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -26,6 +26,8 @@
     pub reached_server: bool,
     /// Whether the call may have run at the server.
     pub may_have_run: bool,
+    /// Whether the connection broke after the call was sent, as it does when the server crashes.
+    pub broke_connection: bool,
     /// Whether another server uses the address now, so that the intended server received nothing.
     pub is_misdirected: bool,
 }
@@ -51,7 +53,7 @@
     /// This attempt tried no server; the call is refused.
     Refused(Refusal),
     /// The attempt at this server, begun at this time, failed.
-    Failed(ServerName, AttemptFailure, Instant),
+    Failed(Box<ServerEntry>, AttemptFailure, Instant),
 }
 
 /// Sends a call to the server that placement prefers and reads the head of its response.
@@ -83,7 +85,6 @@
     let sent_at = Instant::now();
     let sending = send(node, call, &chosen, last_event_id);
     let sent = tokio::time::timeout_at(call.admission.deadline, sending).await;
-    let server = chosen.entry.name.clone();
     let failure = match sent {
         Ok(Ok((connection, head, response))) => match head_failure(&head) {
             None => {
@@ -101,7 +102,7 @@
         },
     };
     progress.sends += u32::from(failure.reached_server && !failure.is_misdirected);
-    Err(AttemptError::Failed(server, failure, sent_at))
+    Err(AttemptError::Failed(Box::new(chosen.entry), failure, sent_at))
 }
 
 /// Returns why a response cannot be used, judged by its head; `None` if it can.
@@ -117,7 +118,14 @@
     };
     let error = head.status.to_string();
     let is_misdirected = head.matches_call && head.is_misdirected;
-    Some(AttemptFailure { reason, error, reached_server: true, may_have_run, is_misdirected })
+    Some(AttemptFailure {
+        reason,
+        error,
+        reached_server: true,
+        may_have_run,
+        broke_connection: false,
+        is_misdirected,
+    })
 }
 
 fn send_failure(error: &SendError) -> AttemptFailure {
@@ -128,6 +136,7 @@
         error: error.to_string(),
         reached_server,
         may_have_run: reached_server,
+        broke_connection: reached_server,
         is_misdirected: false,
     }
 }
--- a/crates/fl-forward/src/backend_response.rs
+++ b/crates/fl-forward/src/backend_response.rs
@@ -5,6 +5,7 @@
 pub use relay::{EventRelay, RelayStep};
 
 use crate::attempt::{Attempt, AttemptFailure};
+use crate::crash_suspects;
 use crate::forwarding::{Call, Progress};
 use crate::node::Node;
 use crate::sse::SseSplitter;
@@ -65,12 +66,19 @@
     let reading = tokio::time::timeout_at(call.admission.deadline, read_body(body)).await;
     let bytes = match reading {
         Ok(Ok(bytes)) => bytes,
-        Ok(Err(error)) => return fail("the answer broke off", error),
+        Ok(Err(error)) => {
+            let broke_connection = matches!(error, BodyError::Broken(_));
+            let failure = failure("the answer broke off", error.to_string());
+            return ResponseOutcome::Failed(AttemptFailure { broke_connection, ..failure });
+        }
         Err(_) => return fail("the answer was not whole in time", String::new()),
     };
     if attempt.head.status.is_success() && !attempt.head.is_signed {
         return fail("the answer is not signed", String::new());
     }
+    if attempt.head.status.is_success() {
+        crash_suspects::note_answer(node, call);
+    }
     let connection = attempt.connection;
     let (pool_node, service) = (node.clone(), call.admission.service.clone());
     tokio::spawn(async move { pool_node.keep_connection(connection, &service).await });
@@ -84,15 +92,24 @@
     }))
 }
 
-async fn read_body(mut body: Incoming) -> Result<Bytes, String> {
+/// Why a body cannot be read in full.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+enum BodyError {
+    /// the connection broke: {0}
+    Broken(hyper::Error),
+    /// the body is larger than 8 MiB
+    TooLarge,
+}
+
+async fn read_body(mut body: Incoming) -> Result<Bytes, BodyError> {
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| error.to_string())?;
+        let frame = frame.map_err(BodyError::Broken)?;
         if let Some(data) = frame.data_ref() {
             bytes.extend_from_slice(data);
         }
         if bytes.len() > FULL_RESPONSE_BYTES_MAX {
-            return Err(format!("the body is larger than {FULL_RESPONSE_BYTES_MAX} bytes"));
+            return Err(BodyError::TooLarge);
         }
     }
     Ok(bytes.freeze())
@@ -118,14 +135,18 @@
         tokio::time::timeout_at(call.admission.deadline, next_event(&mut body, &mut splitter));
     let first_event = match first_event.await {
         Ok(Ok(first_event)) => first_event,
-        Ok(Err(error)) => return fail("the stream broke off before its first event", error),
+        Ok(Err(error)) => {
+            let reason = "the stream broke off before its first event";
+            return ResponseOutcome::Failed(error.into_failure(reason));
+        }
         Err(_) => return fail("the stream did not begin in time", String::new()),
     };
     count_usage(node, call, progress);
     in_flight.on_first_token(attempt.sent_at.elapsed());
-    let server = attempt.chosen.entry.name.clone();
+    let server = attempt.chosen.entry;
     let source = EventSource {
         server: server.clone(),
+        sent_at: attempt.sent_at,
         body,
         connection: Some(attempt.connection),
         in_flight,
@@ -148,7 +169,7 @@
         status: attempt.head.status,
         headers,
         body: BackendResponseBody::Events(Box::new(relay)),
-        server,
+        server: server.name,
         predicted_ms: attempt.chosen.placement.wait_ms,
         in_flight: attempt.chosen.in_flight,
     }))
@@ -166,11 +187,15 @@
 }
 
 fn fail(reason: &'static str, error: String) -> ResponseOutcome {
-    ResponseOutcome::Failed(AttemptFailure {
+    ResponseOutcome::Failed(failure(reason, error))
+}
+
+fn failure(reason: &'static str, error: String) -> AttemptFailure {
+    AttemptFailure {
         reason,
         error,
         reached_server: true,
         may_have_run: true,
-        is_misdirected: false,
-    })
+        ..AttemptFailure::default()
+    }
 }
--- a/crates/fl-forward/src/backend_response/relay.rs
+++ b/crates/fl-forward/src/backend_response/relay.rs
@@ -3,16 +3,17 @@
 
 use crate::attempt::{self, AttemptError, AttemptFailure};
 use crate::connection_pool::Connection;
+use crate::crash_suspects;
 use crate::forwarding::{self, Call, Progress};
 use crate::log::event::StreamResumed;
 use crate::node::Node;
 use crate::servers::InFlightCall;
-use crate::sse::{SseEvent, SseSplitter};
+use crate::sse::{SseError, SseEvent, SseSplitter};
 use bytes::Bytes;
+use fl_protocol::forward::ServerEntry;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// Relays the events of a stream to a caller; resumes it at another server if the route allows
@@ -31,7 +32,9 @@
 
 /// The server and the connection that the events come from.
 pub(super) struct EventSource {
-    pub(super) server: String,
+    pub(super) server: ServerEntry,
+    /// When the call was sent to the server.
+    pub(super) sent_at: Instant,
     pub(super) body: Incoming,
     pub(super) connection: Option<Connection>,
     /// Counts the call as in flight at the server until it is dropped.
@@ -49,11 +52,36 @@
     Broken(&'static str),
 }
 
+/// Why the next event of a stream cannot be read.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub(super) enum StreamError {
+    /// the connection broke: {0}
+    Broken(hyper::Error),
+    /// the last event is cut off
+    CutOff,
+    /// the server sends no event stream: {0}
+    NoEvents(#[from] SseError),
+}
+
+impl StreamError {
+    /// Returns the failure of the attempt whose stream it ended.
+    pub(super) fn into_failure(self, reason: &'static str) -> AttemptFailure {
+        AttemptFailure {
+            reason,
+            error: self.to_string(),
+            reached_server: true,
+            may_have_run: true,
+            broke_connection: matches!(self, StreamError::Broken(_) | StreamError::CutOff),
+            is_misdirected: false,
+        }
+    }
+}
+
 /// Reads the next complete event; returns `None` when the stream ends after a complete event.
 pub(super) async fn next_event(
     body: &mut Incoming,
     splitter: &mut SseSplitter,
-) -> Result<Option<SseEvent>, String> {
+) -> Result<Option<SseEvent>, StreamError> {
     loop {
         if let Some(event) = splitter.next_event() {
             return Ok(Some(event));
@@ -61,10 +89,10 @@
         match body.frame().await {
             Some(Ok(frame)) => {
                 let data = frame.data_ref().map_or(&[][..], |data| data);
-                splitter.push(data).map_err(|error| error.to_string())?;
+                splitter.push(data)?;
             }
-            Some(Err(error)) => return Err(error.to_string()),
-            None if splitter.has_partial() => return Err("the last event is cut off".to_string()),
+            Some(Err(error)) => return Err(StreamError::Broken(error)),
+            None if splitter.has_partial() => return Err(StreamError::CutOff),
             None => return Ok(None),
         }
     }
@@ -98,7 +126,7 @@
 
     /// Returns the name of the server that the stream comes from.
     pub fn server(&self) -> &str {
-        &self.source.server
+        &self.source.server.name
     }
 
     /// Returns the number of servers that the call was sent to.
@@ -123,6 +151,7 @@
 
     async fn finish(&mut self) -> RelayStep {
         self.has_ended = true;
+        crash_suspects::note_answer(&self.node, &self.call);
         if let Some(connection) = self.source.connection.take() {
             self.node.keep_connection(connection, &self.call.admission.service).await;
         }
@@ -130,58 +159,63 @@
     }
 
     /// Resumes the stream at another server; returns false if it may not be resumed.
-    async fn resume(&mut self, error: String) -> bool {
-        let failure = AttemptFailure {
-            reason: "the stream broke off",
-            error,
-            reached_server: true,
-            may_have_run: true,
-            is_misdirected: false,
-        };
+    async fn resume(&mut self, error: StreamError) -> bool {
+        let mut failure = error.into_failure("the stream broke off");
         loop {
             let server = self.source.server.clone();
-            forwarding::record_failure(&self.node, &self.call, &server, &failure, Duration::ZERO);
+            let sent_at = self.source.sent_at;
+            forwarding::record_failure(&self.node, &self.call, &server, &failure, sent_at).await;
             self.source.connection = None;
             self.splitter.clear();
-            if !self.progress.excluded_servers.contains(&server) {
-                self.progress.excluded_servers.push(server);
+            if !self.progress.excluded_servers.contains(&server.name) {
+                self.progress.excluded_servers.push(server.name);
             }
+            let may_crash_more =
+                failure.broke_connection && self.node.crash_suspects.is_suspect(&self.call);
             let may_resume = self.call.admission.route.is_retryable()
                 && self.last_event_id.is_some()
+                && !may_crash_more
                 && forwarding::try_take_retry(&self.node, &self.call, &self.progress);
             if !may_resume {
                 return false;
             }
             match self.reconnect().await {
                 Ok(()) => return true,
-                Err(Some(server)) => self.source.server = server,
-                Err(None) => return false,
+                Err(AttemptError::Refused(_)) => return false,
+                Err(AttemptError::Failed(server, next_failure, sent_at)) => {
+                    self.source.server = *server;
+                    self.source.sent_at = sent_at;
+                    failure = next_failure;
+                }
             }
         }
     }
 
-    /// Opens the rest of the stream at another server. An error names the server that failed, if
-    /// one was tried.
-    async fn reconnect(&mut self) -> Result<(), Option<String>> {
+    /// Opens the rest of the stream at another server.
+    async fn reconnect(&mut self) -> Result<(), AttemptError> {
         let last_event_id = self.last_event_id;
         let attempt =
-            attempt::send_attempt(&self.node, &self.call, &mut self.progress, last_event_id).await;
-        let attempt = match attempt {
-            Ok(attempt) => attempt,
-            Err(AttemptError::Refused(_)) => return Err(None),
-            Err(AttemptError::Failed(server, _, _)) => return Err(Some(server)),
-        };
-        let server = attempt.chosen.entry.name.clone();
+            attempt::send_attempt(&self.node, &self.call, &mut self.progress, last_event_id)
+                .await?;
+        let server = attempt.chosen.entry;
         if !attempt.head.status.is_success() || !attempt.head.is_signed {
-            return Err(Some(server));
+            let failure = AttemptFailure {
+                reason: "the rest of the stream was not sent",
+                error: attempt.head.status.to_string(),
+                reached_server: true,
+                may_have_run: true,
+                ..AttemptFailure::default()
+            };
+            return Err(AttemptError::Failed(Box::new(server), failure, attempt.sent_at));
         }
         self.node.log.write(&StreamResumed {
             request_id: &self.call.head.id,
-            server: &server,
+            server: &server.name,
             last_event_id: last_event_id.unwrap_or(0),
         });
         self.source = EventSource {
             server,
+            sent_at: attempt.sent_at,
             body: attempt.response.into_body(),
             connection: Some(attempt.connection),
             in_flight: attempt.in_flight,
--- /dev/null
+++ b/crates/fl-forward/src/crash_suspects.rs
@@ -0,0 +1,167 @@
+//! Quarantine of calls that crash the servers which begin to answer them.
+//!
+//! [`fl_routing::crash_suspects`] decides what is quarantined; this module tells it what happened
+//! to this node's calls, and refuses calls. See `docs/design/045-crashing-requests.md`.
+
+mod stored;
+
+pub use stored::keep_stored;
+
+use crate::clock::boot_time;
+use crate::connection_pool::Connection;
+use crate::forwarding::Call;
+use crate::log::event::{QuarantineChanged, ServerCrashed};
+use crate::node::Node;
+use fl_kernel::clock::unix_ms;
+use fl_kernel::forward::Refusal;
+use fl_protocol::forward::{ModelCall, ServerEntry};
+use fl_protocol::{Fingerprint, hash64};
+use fl_routing::crash_suspects::{
+    Crash, CrashSuspects, InstanceHash, QuarantineChange, RETENTION, Suspect, SuspectKey,
+};
+use http::StatusCode;
+use parking_lot::Mutex;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Suspects that a node remembers.
+const SUSPECTS_MAX: usize = 512;
+/// Crashes in one report to the peers, so that it fits into a datagram.
+const REPORTED_CRASHES_MAX: usize = 300;
+/// How long a server may take to accept a connection until it counts as crashed, after a connection
+/// to it broke.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Reason for refusing a quarantined call.
+const QUARANTINED: &str = "calls with this content crash servers";
+
+/// The crash suspects of a node, shared by its tasks.
+pub struct NodeCrashSuspects {
+    suspects: Mutex<CrashSuspects>,
+    quarantine_changed: Notify,
+}
+
+impl Default for NodeCrashSuspects {
+    fn default() -> Self {
+        NodeCrashSuspects {
+            suspects: Mutex::new(CrashSuspects::new(SUSPECTS_MAX)),
+            quarantine_changed: Notify::new(),
+        }
+    }
+}
+
+impl NodeCrashSuspects {
+    /// Returns what the peers have to know; all that is quarantined if `is_complete`, otherwise what
+    /// changed recently.
+    pub fn report(&self, is_complete: bool) -> Vec<Suspect> {
+        self.suspects.lock().report(is_complete, REPORTED_CRASHES_MAX, boot_time())
+    }
+
+    /// Returns the number of quarantined prompt parts and contents.
+    pub fn quarantined_count(&self) -> usize {
+        self.suspects.lock().quarantined_count()
+    }
+
+    /// Returns whether a call may have crashed servers, so that it is not sent to one more.
+    pub fn is_suspect(&self, call: &Call) -> bool {
+        self.suspects.lock().is_suspect(&call.suspect_keys)
+    }
+}
+
+/// Returns what other calls may have in common with this one: the parts of its prompt but the last,
+/// and its content.
+pub fn suspect_keys(content: Fingerprint, model: Option<&ModelCall>) -> Vec<SuspectKey> {
+    let mut keys = part_keys(model);
+    keys.push(SuspectKey::Content(content));
+    keys
+}
+
+/// Returns the parts of a prompt that other calls may share.
+pub fn part_keys(model: Option<&ModelCall>) -> Vec<SuspectKey> {
+    let parts = model.into_iter().flat_map(ModelCall::shared_parts);
+    parts.map(|part| SuspectKey::PromptPart(part.id)).collect()
+}
+
+/// Refuses a call that holds what is quarantined.
+///
+/// # Errors
+///
+/// Returns the refusal, which says that the call did not run.
+pub fn check(node: &Node, keys: &[SuspectKey]) -> Result<(), Refusal> {
+    match node.crash_suspects.suspects.lock().quarantined(keys) {
+        None => Ok(()),
+        Some(_) => Err(Refusal {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason: QUARANTINED,
+            retry_after: Some(RETENTION),
+        }),
+    }
+}
+
+/// Clears what an answered call held.
+pub fn note_answer(node: &Node, call: &Call) {
+    let changes =
+        node.crash_suspects.suspects.lock().record_success(&call.suspect_keys, boot_time());
+    announce(node, &changes, "answer");
+}
+
+/// Finds out whether a server crashed under a call whose connection to it broke, and suspects what
+/// the call held.
+///
+/// A server that still accepts connections, or that was to leave, did not crash.
+pub async fn note_broken_connection(
+    node: &Arc<Node>,
+    call: &Call,
+    server: &ServerEntry,
+    sent_at: Instant,
+) {
+    let crashed_ms = unix_ms();
+    let call_time_ms = sent_at.elapsed().as_millis() as u64;
+    if !node.servers.is_usable_instance(server) || accepts_connections(node, server).await {
+        return;
+    }
+    metrics::counter!("fl_server_crashes_total").increment(1);
+    node.log.write(&ServerCrashed { server: &server.name, request_id: &call.head.id });
+    let sent_ms = crashed_ms.saturating_sub(call_time_ms);
+    let crash = Crash { instance: instance_hash(server), sent_ms, crashed_ms };
+    let keys = &call.suspect_keys;
+    let changes = node.crash_suspects.suspects.lock().record_crash(keys, crash, boot_time());
+    announce(node, &changes, "crash");
+    node.peers.request_urgent_report();
+}
+
+/// Merges what a peer or the store knows.
+pub fn merge(node: &Node, suspects: &[Suspect], source: &str) {
+    let changes = node.crash_suspects.suspects.lock().merge(suspects, boot_time());
+    announce(node, &changes, source);
+}
+
+/// Logs what is quarantined from now on or no longer, and lets it be stored.
+fn announce(node: &Node, changes: &[QuarantineChange], source: &str) {
+    for change in changes {
+        let (kind, id) = match change.key {
+            SuspectKey::PromptPart(id) => ("prompt part", format!("{id:x}")),
+            SuspectKey::Content(id) => ("content", format!("{id:016x}")),
+        };
+        let is_quarantined = change.is_quarantined;
+        let crashes = change.crashes;
+        node.log.write(&QuarantineChanged { kind, id: &id, is_quarantined, crashes, source });
+    }
+    if !changes.is_empty() {
+        node.crash_suspects.quarantine_changed.notify_one();
+    }
+}
+
+/// Returns whether a server accepts a connection, which is kept for the next call.
+async fn accepts_connections(node: &Arc<Node>, server: &ServerEntry) -> bool {
+    let opening = tokio::time::timeout(ACCEPT_TIMEOUT, Connection::open(server.address)).await;
+    let Ok(Ok(connection)) = opening else { return false };
+    metrics::counter!("fl_connections_opened_total").increment(1);
+    node.keep_connection(connection, &server.service).await;
+    true
+}
+
+fn instance_hash(server: &ServerEntry) -> InstanceHash {
+    hash64(&[server.name.as_bytes(), &server.born_ms.unwrap_or(0).to_be_bytes()])
+}
--- a/crates/fl-forward/src/forwarding.rs
+++ b/crates/fl-forward/src/forwarding.rs
@@ -7,13 +7,15 @@
 use crate::attempt::{AttemptError, AttemptFailure, send_attempt};
 use crate::backend_response::{BackendResponse, ResponseOutcome, open_stream, read_full_response};
 use crate::clock::boot_time;
+use crate::crash_suspects;
 use crate::log::event::AttemptFailed;
 use crate::node::Node;
 use bytes::Bytes;
 use fl_kernel::forward::Refusal;
 use fl_limits::SlidingRetryBudget;
 use fl_protocol::Fingerprint;
-use fl_protocol::forward::{CallHead, CallKind, ModelCall, ServerName};
+use fl_protocol::forward::{CallHead, CallKind, ModelCall, ServerEntry, ServerName};
+use fl_routing::crash_suspects::SuspectKey;
 use http::{HeaderMap, StatusCode, request};
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,8 +41,10 @@
     pub body: Bytes,
     /// The route, service, deadline and rank decided at admission.
     pub admission: Admission,
-    /// Hash of its method, path, workspace and body.
+    /// Hash of its method, host, path, workspace, body and prompt.
     pub fingerprint: Fingerprint,
+    /// What it may have in common with calls that crashed servers.
+    pub suspect_keys: Vec<SuspectKey>,
 }
 
 /// The attempts of a call so far.
@@ -77,20 +81,22 @@
             Ok(attempt) => attempt,
             Err(AttemptError::Refused(refusal)) => return Err((refusal, progress)),
             Err(AttemptError::Failed(server, failure, sent_at)) => {
-                record_failure(node, &call, &server, &failure, sent_at.elapsed());
-                if let Err(refusal) = decide_retry(node, &call, &mut progress, server, &failure) {
+                record_failure(node, &call, &server, &failure, sent_at).await;
+                if let Err(refusal) =
+                    decide_retry(node, &call, &mut progress, server.name, &failure)
+                {
                     return Err((refusal, progress));
                 }
                 continue;
             }
         };
-        let server = attempt.chosen.entry.name.clone();
+        let server = attempt.chosen.entry.clone();
         let sent_at = attempt.sent_at;
         if attempt.head.status.is_server_error() {
-            node.servers.record_failure(&server);
+            node.servers.record_failure(&server.name);
             if call.admission.route.is_retryable() && try_take_retry(node, &call, &progress) {
                 progress.may_have_run = true;
-                progress.excluded_servers.push(server);
+                progress.excluded_servers.push(server.name);
                 continue;
             }
         }
@@ -103,8 +109,10 @@
         match outcome {
             ResponseOutcome::Response(response) => return Ok((*response, progress)),
             ResponseOutcome::Failed(failure) => {
-                record_failure(node, &call, &server, &failure, sent_at.elapsed());
-                if let Err(refusal) = decide_retry(node, &call, &mut progress, server, &failure) {
+                record_failure(node, &call, &server, &failure, sent_at).await;
+                if let Err(refusal) =
+                    decide_retry(node, &call, &mut progress, server.name, &failure)
+                {
                     return Err((refusal, progress));
                 }
             }
@@ -130,7 +138,8 @@
         return Err(refuse_failed(progress, "no backend server could be reached"));
     }
     let may_run_again = !failure.may_have_run || call.admission.route.is_retryable();
-    if may_run_again && try_take_retry(node, call, progress) {
+    let may_crash_more = failure.broke_connection && node.crash_suspects.is_suspect(call);
+    if !may_crash_more && may_run_again && try_take_retry(node, call, progress) {
         return Ok(());
     }
     if Instant::now() >= call.admission.deadline {
@@ -152,28 +161,32 @@
     may_retry
 }
 
-/// Logs a failed attempt and lowers the server's rank in placement if the server caused it.
-pub fn record_failure(
-    node: &Node,
+/// Logs a failed attempt, lowers the server's rank in placement if the server caused it, and finds
+/// out whether the server crashed.
+pub async fn record_failure(
+    node: &Arc<Node>,
     call: &Call,
-    server: &str,
+    server: &ServerEntry,
     failure: &AttemptFailure,
-    duration: Duration,
+    sent_at: Instant,
 ) {
     if failure.may_have_run || !failure.reached_server || failure.is_misdirected {
-        node.servers.record_failure(server);
+        node.servers.record_failure(&server.name);
     }
     metrics::counter!("fl_attempts_failed_total", "failure" => failure.reason).increment(1);
     node.log.write(&AttemptFailed {
         request_id: &call.head.id,
-        server,
+        server: &server.name,
         failure: failure.reason,
         error: &failure.error,
         may_have_run: failure.may_have_run,
         content: &format!("{:016x}", call.fingerprint),
         prompt_parts: &logged_parts(call),
-        after_ms: duration.as_millis() as u64,
+        after_ms: sent_at.elapsed().as_millis() as u64,
     });
+    if failure.broke_connection {
+        crash_suspects::note_broken_connection(node, call, server, sent_at).await;
+    }
 }
 
 /// Returns the first prompt parts of a call that other calls may share, for the log.
--- a/crates/fl-forward/src/http_server.rs
+++ b/crates/fl-forward/src/http_server.rs
@@ -6,6 +6,7 @@
 use crate::backend_response::BackendResponse;
 use crate::connection_pool::set_socket_options;
 use crate::connection_timeouts::{ConnectionTimer, TimedConnection};
+use crate::crash_suspects::{self, suspect_keys};
 use crate::forwarding::{Call, Progress, forward_call};
 use crate::node::{ActiveCallGuard, Node};
 use bytes::Bytes;
@@ -105,8 +106,12 @@
     let admission = admit(&node, &record.head, record.received_at).map_err(before_sending)?;
     record.admission = Some(admission.clone());
     let body = read_body(body, limits, admission.deadline).await.map_err(before_sending)?;
+    let fingerprint = fingerprint(&parts, &record.head, &admission, &body);
+    let suspect_keys = suspect_keys(fingerprint, record.head.model.as_ref());
+    crash_suspects::check(&node, &suspect_keys).map_err(before_sending)?;
     let call = Call {
-        fingerprint: fingerprint(&parts, &admission, &body),
+        fingerprint,
+        suspect_keys,
         head: record.head.clone(),
         forwarded_headers: node.platform.codec.forwarded_headers(&parts.headers),
         parts,
@@ -117,12 +122,21 @@
 }
 
 /// Returns the hash of what stays the same when a caller sends a call again.
-fn fingerprint(parts: &http::request::Parts, admission: &Admission, body: &Bytes) -> Fingerprint {
+fn fingerprint(
+    parts: &http::request::Parts,
+    head: &CallHead,
+    admission: &Admission,
+    body: &Bytes,
+) -> Fingerprint {
     let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
     let workspace = admission.workspace.as_deref().unwrap_or_default();
-    let (method, host) = (parts.method.as_str(), &admission.route.host);
-    let fields = [method, host, path, workspace].map(str::as_bytes);
-    hash64(&[&fields[..], &[body.as_ref()]].concat())
+    let mut fields =
+        [parts.method.as_str(), &head.host, path, workspace].map(str::as_bytes).to_vec();
+    fields.push(body);
+    let prompt = head.model.iter().flat_map(|model| &model.parts);
+    let part_ids: Vec<[u8; 8]> = prompt.map(|part| part.id.to_be_bytes()).collect();
+    fields.extend(part_ids.iter().map(|id| &id[..]));
+    hash64(&fields)
 }
 
 /// Refuses a request whose announced length is too large, before its body is read.
--- a/crates/fl-forward/src/lifecycle.rs
+++ b/crates/fl-forward/src/lifecycle.rs
@@ -3,7 +3,10 @@
 use crate::log::Log;
 use crate::log::event::{NodeLeaving, NodeReady, NodeStarted, NodeStopped, SettingsReread};
 use crate::node::{Node, PlatformAdapters};
-use crate::{duties, http_server, metrics_endpoint, peers, route_table, servers, shared_reads};
+use crate::{
+    crash_suspects, duties, http_server, metrics_endpoint, peers, route_table, servers,
+    shared_reads,
+};
 use bytes::Bytes;
 use fl_kernel::forward::ForwardSettings;
 use http::{Request, Response, StatusCode};
@@ -85,6 +88,7 @@
     tokio::spawn(shared_reads::query_reader(node.clone(), socket.clone()));
     tokio::spawn(peers::send_reports(node.clone(), socket));
     tokio::spawn(peers::discover(node.clone()));
+    tokio::spawn(crash_suspects::keep_stored(node.clone()));
     tokio::spawn(duties::run(node.clone()));
 }
 
--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -4,7 +4,10 @@
 mod call;
 mod duty;
 
-pub use call::{AttemptFailed, CallEnded, CallRefused, QuotaShort, StreamResumed};
+pub use call::{
+    AttemptFailed, CallEnded, CallRefused, QuarantineChanged, QuotaShort, ServerCrashed,
+    StreamResumed,
+};
 pub use duty::{DutyFailed, FleetOrdered, LeaseChanged, UsageReported};
 
 use serde::Serialize;
@@ -47,6 +50,8 @@
     ServerLeaving<'_> => "server_leaving",
     ServerPaused<'_> => "server_paused",
     ServerNoticeInvalid<'_> => "server_notice_invalid",
+    ServerCrashed<'_> => "server_crashed",
+    QuarantineChanged<'_> => "quarantine_changed",
     CallRefused<'_> => "call_refused",
     QuotaShort<'_> => "quota_short",
     AttemptFailed<'_> => "attempt_failed",
--- a/crates/fl-forward/src/log/event/call.rs
+++ b/crates/fl-forward/src/log/event/call.rs
@@ -57,7 +57,7 @@
     pub error: &'a str,
     /// Whether the call may have run at the server.
     pub may_have_run: bool,
-    /// The fingerprint of the call's path, workspace and body, as hexadecimal digits.
+    /// The fingerprint of the call's path, workspace, body and prompt, as hexadecimal digits.
     pub content: &'a str,
     /// The ids of the first prompt parts that other calls may share, as hexadecimal digits.
     pub prompt_parts: &'a [String],
@@ -65,6 +65,30 @@
     pub after_ms: u64,
 }
 
+/// The connection of a call broke, and its server accepts no other.
+#[derive(Debug, Serialize)]
+pub struct ServerCrashed<'a> {
+    /// The backend server.
+    pub server: &'a str,
+    /// The id of the caller's attempt.
+    pub request_id: &'a str,
+}
+
+/// What calls have in common was quarantined since it crashes servers, or it no longer is.
+#[derive(Debug, Serialize)]
+pub struct QuarantineChanged<'a> {
+    /// Whether it is a prompt part or a whole content.
+    pub kind: &'a str,
+    /// The id of the part or the fingerprint of the content, as in `attempt_failed`.
+    pub id: &'a str,
+    /// Whether calls that hold it are refused from now on.
+    pub is_quarantined: bool,
+    /// Number of servers that crashed under it, as known here.
+    pub crashes: usize,
+    /// What changed it: a crash or an answer at this node, a peer, or the store.
+    pub source: &'a str,
+}
+
 /// An answered call ended.
 #[derive(Debug, Serialize)]
 pub struct CallEnded<'a> {
--- a/crates/fl-forward/src/metrics_endpoint.rs
+++ b/crates/fl-forward/src/metrics_endpoint.rs
@@ -74,6 +74,7 @@
     metrics::gauge!("fl_table_version").set(node.route_table.current().version as f64);
     metrics::gauge!("fl_servers_usable").set(node.servers.usable().len() as f64);
     metrics::gauge!("fl_servers_limited").set(node.servers.limited() as f64);
+    metrics::gauge!("fl_quarantined").set(node.crash_suspects.quarantined_count() as f64);
     metrics::gauge!("fl_nodes").set(node.peers.admitting_nodes() as f64);
     metrics::gauge!("fl_calls_under_way").set(node.active_calls() as f64);
 }
--- a/crates/fl-forward/src/node.rs
+++ b/crates/fl-forward/src/node.rs
@@ -3,6 +3,7 @@
 use crate::admission::Quotas;
 use crate::clock::boot_time;
 use crate::connection_pool::{Connection, ConnectionPool, idle_connections_max};
+use crate::crash_suspects::NodeCrashSuspects;
 use crate::duties::DutyLeaseState;
 use crate::log::Log;
 use crate::log::event::StoreIncarnationSeen;
@@ -47,6 +48,8 @@
     pub servers: Servers,
     /// Idle connections to backend servers.
     pub connections: ConnectionPool,
+    /// What calls may have in common that crashes servers.
+    pub crash_suspects: NodeCrashSuspects,
     /// Quotas of workspaces, shared with the other nodes.
     pub quotas: Quotas,
     /// Retry budgets by service.
@@ -95,6 +98,7 @@
             route_table: ActiveRouteTable::default(),
             servers: Servers::default(),
             connections: ConnectionPool::default(),
+            crash_suspects: NodeCrashSuspects::default(),
             quotas: Quotas::default(),
             usage: UsageCounts::default(),
             duty_lease: DutyLeaseState::default(),
--- a/crates/fl-forward/src/peers/exchange.rs
+++ b/crates/fl-forward/src/peers/exchange.rs
@@ -2,20 +2,27 @@
 
 use super::report::{PeerReport, build_report, instance_id};
 use crate::admission::WorkspaceQuotaReport;
+use crate::crash_suspects;
 use crate::log::event::{PeerChanged, ZoneChanged};
 use crate::node::Node;
 use crate::servers::{ReportedNotices, apply_reported_notices};
 use crate::shared_reads::{self, StoreQuery, StoreReply};
 use fl_limits::QuotaReport;
+use fl_routing::crash_suspects::Suspect;
 use fl_routing::zone_reachability::unreachable_zones;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::time::Instant;
 
 /// Size limit of a received datagram. A longer one is cut off, so it cannot be decoded.
 const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
 
+/// How often all that is quarantined is repeated, for nodes that started or missed it.
+const SUSPECTS_REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A message between nodes, encoded with postcard.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -31,6 +38,8 @@
     Notices(Vec<ReportedNotices>),
     /// The reply to a query.
     Reply(StoreReply),
+    /// What the sending node knows of what crashes servers.
+    CrashSuspects(Vec<Suspect>),
 }
 
 impl Datagram {
@@ -44,6 +53,7 @@
 
 /// Sends reports to all peers at intervals until the node ends.
 pub async fn send_reports(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    let mut suspects_repeated_at = Instant::now();
     loop {
         for (peer, silence) in node.peers.update_silent_peers() {
             let silent_ms = silence.as_millis() as u64;
@@ -59,6 +69,14 @@
         if !notices.is_empty() {
             send_to_peers(&node, &socket, &Datagram::Notices(notices));
         }
+        let repeats_suspects = suspects_repeated_at.elapsed() >= SUSPECTS_REPEAT_INTERVAL;
+        if repeats_suspects {
+            suspects_repeated_at = Instant::now();
+        }
+        let suspects = node.crash_suspects.report(repeats_suspects);
+        if !suspects.is_empty() {
+            send_to_peers(&node, &socket, &Datagram::CrashSuspects(suspects));
+        }
         if node.sleep(node.peers.urgent_interval()).await.is_none() {
             return;
         }
@@ -101,6 +119,9 @@
             }
             Ok(Datagram::RevisionReply) => {}
             Ok(Datagram::Reply(reply)) => shared_reads::apply_reply(&node, reply),
+            Ok(Datagram::CrashSuspects(suspects)) => {
+                crash_suspects::merge(&node, &suspects, "peer")
+            }
             Ok(Datagram::Notices(notices)) => apply_reported_notices(&node, &notices),
             Err(_) => metrics::counter!("fl_peer_reports_unreadable_total").increment(1),
         }
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -114,6 +114,13 @@
         self.state.lock().usable().cloned().collect()
     }
 
+    /// Returns whether this instance of a server may be used, so that it is not expected to end.
+    pub fn is_usable_instance(&self, server: &ServerEntry) -> bool {
+        let is_same =
+            |entry: &ServerEntry| entry.name == server.name && entry.born_ms == server.born_ms;
+        self.state.lock().usable().any(is_same)
+    }
+
     /// Returns whether servers are still used although their entries are missing from the newest
     /// list.
     pub fn uses_missing(&self) -> bool {
--- a/crates/fl-routing/src/lib.rs
+++ b/crates/fl-routing/src/lib.rs
@@ -6,6 +6,7 @@
 //! servers by [`placement`]. See `docs/design/050-routing.md`.
 
 pub mod cache_estimate;
+pub mod crash_suspects;
 pub mod in_flight;
 pub mod load_estimate;
 pub mod placement;
