Take a stream without length that ends before its first event for broken off

Callers got 200 with an empty, whole-looking stream when a server ended its connection after the head of a response that has neither a length nor chunks. Cause: the end of such a connection was taken for the end of the stream wherever it came between two events, also before the first one. Such a stream now counts as broken, at its first server and when it is resumed, so it is sent again where the route allows it. The reading of events moves into the source, which knows how its response is framed; a new source begins with an empty splitter, so nothing clears one any more, and the test of that now checks that the rest of an event completes it.

--- a/crates/fl-forward/src/backend_response.rs
+++ b/crates/fl-forward/src/backend_response.rs
@@ -8,13 +8,12 @@
 use crate::crash_suspects;
 use crate::forwarding::{Call, Progress};
 use crate::node::Node;
-use crate::sse::SseSplitter;
 use bytes::{Bytes, BytesMut};
 use fl_kernel::clock::unix_ms;
 use http::{HeaderMap, StatusCode, header};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
-use relay::{EventSource, next_event};
+use relay::EventSource;
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -127,12 +126,11 @@
         return fail("the answer is not signed", String::new());
     }
     progress.may_have_run = true;
-    let (parts, body) = attempt.response.into_parts();
-    let mut in_flight = attempt.in_flight;
-    let mut splitter = SseSplitter::default();
-    let mut body = body;
-    let first_event =
-        tokio::time::timeout_at(call.admission.deadline, next_event(&mut body, &mut splitter));
+    let mut headers = node.platform.codec.response_headers(attempt.response.headers());
+    let (status, placement) = (attempt.head.status, attempt.chosen.placement);
+    let in_flight = attempt.chosen.in_flight;
+    let mut source = EventSource::new(attempt);
+    let first_event = tokio::time::timeout_at(call.admission.deadline, source.next_event());
     let first_event = match first_event.await {
         Ok(Ok(first_event)) => first_event,
         Ok(Err(error)) => {
@@ -142,36 +140,27 @@
         Err(_) => return fail("the stream did not begin in time", String::new()),
     };
     count_usage(node, call, progress);
-    in_flight.on_first_token(attempt.sent_at.elapsed());
-    let server = attempt.chosen.entry;
-    let source = EventSource {
-        server: server.clone(),
-        sent_at: attempt.sent_at,
-        body,
-        connection: Some(attempt.connection),
-        in_flight,
-    };
+    source.on_first_token();
+    let server = source.server.name.clone();
     let relay = EventRelay {
         node: node.clone(),
         call: call.clone(),
         progress: progress.clone(),
         source,
-        splitter,
         has_ended: first_event.is_none(),
         first_event,
         last_event_id: call.head.last_event_id,
         last_event_at: Instant::now(),
     };
-    let mut headers = node.platform.codec.response_headers(&parts.headers);
     // The rest may come from another server, so the length is not known.
     headers.remove(header::CONTENT_LENGTH);
     ResponseOutcome::Response(Box::new(BackendResponse {
-        status: attempt.head.status,
+        status,
         headers,
         body: BackendResponseBody::Events(Box::new(relay)),
-        server: server.name,
-        predicted_ms: attempt.chosen.placement.wait_ms,
-        in_flight: attempt.chosen.in_flight,
+        server,
+        predicted_ms: placement.wait_ms,
+        in_flight,
     }))
 }
 
--- a/crates/fl-forward/src/backend_response/relay.rs
+++ b/crates/fl-forward/src/backend_response/relay.rs
@@ -1,7 +1,7 @@
 //! Relays the events of a stream to a caller; resumes it at another server if the route allows
 //! that.
 
-use crate::attempt::{self, AttemptError, AttemptFailure};
+use crate::attempt::{self, Attempt, AttemptError, AttemptFailure};
 use crate::connection_pool::Connection;
 use crate::crash_suspects;
 use crate::forwarding::{self, Call, Progress};
@@ -11,6 +11,7 @@
 use crate::sse::{SseError, SseEvent, SseSplitter};
 use bytes::Bytes;
 use fl_protocol::forward::ServerEntry;
+use http::header;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -23,7 +24,6 @@
     pub(super) call: Arc<Call>,
     pub(super) progress: Progress,
     pub(super) source: EventSource,
-    pub(super) splitter: SseSplitter,
     pub(super) first_event: Option<SseEvent>,
     pub(super) last_event_id: Option<u64>,
     pub(super) last_event_at: Instant,
@@ -34,12 +34,16 @@
 pub(super) struct EventSource {
     pub(super) server: ServerEntry,
     /// When the call was sent to the server.
-    pub(super) sent_at: Instant,
-    pub(super) body: Incoming,
-    pub(super) connection: Option<Connection>,
+    sent_at: Instant,
+    body: Incoming,
+    /// Whether the response has neither a length nor chunks, so that its end is that of its
+    /// connection.
+    ends_with_connection: bool,
+    has_sent_event: bool,
+    splitter: SseSplitter,
+    connection: Option<Connection>,
     /// Counts the call as in flight at the server until it is dropped.
-    #[expect(dead_code, reason = "it counts until it is dropped")]
-    pub(super) in_flight: InFlightCall,
+    in_flight: InFlightCall,
 }
 
 /// The next step of a relayed stream.
@@ -59,6 +63,8 @@
     Broken(hyper::Error),
     /// the last event is cut off
     CutOff,
+    /// the connection ended before the first event
+    Empty,
     /// the server sends no event stream: {0}
     NoEvents(#[from] SseError),
 }
@@ -71,31 +77,59 @@
             error: self.to_string(),
             reached_server: true,
             may_have_run: true,
-            broke_connection: matches!(self, StreamError::Broken(_) | StreamError::CutOff),
+            broke_connection: matches!(
+                self,
+                StreamError::Broken(_) | StreamError::CutOff | StreamError::Empty
+            ),
             is_misdirected: false,
         }
     }
 }
 
-/// Reads the next complete event; returns `None` when the stream ends after a complete event.
-pub(super) async fn next_event(
-    body: &mut Incoming,
-    splitter: &mut SseSplitter,
-) -> Result<Option<SseEvent>, StreamError> {
-    loop {
-        if let Some(event) = splitter.next_event() {
-            return Ok(Some(event));
+impl EventSource {
+    /// Reads events from the response of an attempt.
+    pub(super) fn new(attempt: Attempt) -> Self {
+        let (parts, body) = attempt.response.into_parts();
+        let is_framed = parts.headers.contains_key(header::CONTENT_LENGTH)
+            || parts.headers.contains_key(header::TRANSFER_ENCODING);
+        EventSource {
+            server: attempt.chosen.entry,
+            sent_at: attempt.sent_at,
+            body,
+            ends_with_connection: !is_framed,
+            has_sent_event: false,
+            splitter: SseSplitter::default(),
+            connection: Some(attempt.connection),
+            in_flight: attempt.in_flight,
         }
-        match body.frame().await {
-            Some(Ok(frame)) => {
-                let data = frame.data_ref().map_or(&[][..], |data| data);
-                splitter.push(data)?;
+    }
+
+    /// Reads the next complete event; returns `None` when the stream ends after a complete event.
+    pub(super) async fn next_event(&mut self) -> Result<Option<SseEvent>, StreamError> {
+        loop {
+            if let Some(event) = self.splitter.next_event() {
+                self.has_sent_event = true;
+                return Ok(Some(event));
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    let data = frame.data_ref().map_or(&[][..], |data| data);
+                    self.splitter.push(data)?;
+                }
+                Some(Err(error)) => return Err(StreamError::Broken(error)),
+                None if self.splitter.has_partial() => return Err(StreamError::CutOff),
+                None if self.ends_with_connection && !self.has_sent_event => {
+                    return Err(StreamError::Empty);
+                }
+                None => return Ok(None),
             }
-            Some(Err(error)) => return Err(StreamError::Broken(error)),
-            None if splitter.has_partial() => return Err(StreamError::CutOff),
-            None => return Ok(None),
         }
     }
+
+    /// Records that the server has prefilled the prompt of the call.
+    pub(super) fn on_first_token(&mut self) {
+        self.in_flight.on_first_token(self.sent_at.elapsed());
+    }
 }
 
 impl EventRelay {
@@ -109,7 +143,7 @@
             return self.finish().await;
         }
         loop {
-            let reading = next_event(&mut self.source.body, &mut self.splitter);
+            let reading = self.source.next_event();
             match tokio::time::timeout_at(self.call.admission.deadline, reading).await {
                 Ok(Ok(Some(event))) if self.is_duplicate(&event) => {}
                 Ok(Ok(Some(event))) => return self.deliver(event),
@@ -166,7 +200,6 @@
             let sent_at = self.source.sent_at;
             forwarding::record_failure(&self.node, &self.call, &server, &failure, sent_at).await;
             self.source.connection = None;
-            self.splitter.clear();
             if !self.progress.excluded_servers.contains(&server.name) {
                 self.progress.excluded_servers.push(server.name);
             }
@@ -197,7 +230,6 @@
         let attempt =
             attempt::send_attempt(&self.node, &self.call, &mut self.progress, last_event_id)
                 .await?;
-        let server = attempt.chosen.entry;
         if !attempt.head.status.is_success() || !attempt.head.is_signed {
             let failure = AttemptFailure {
                 reason: "the rest of the stream was not sent",
@@ -206,20 +238,15 @@
                 may_have_run: true,
                 ..AttemptFailure::default()
             };
-            return Err(AttemptError::Failed(Box::new(server), failure, attempt.sent_at));
+            let server = Box::new(attempt.chosen.entry);
+            return Err(AttemptError::Failed(server, failure, attempt.sent_at));
         }
         self.node.log.write(&StreamResumed {
             request_id: &self.call.head.id,
-            server: &server.name,
+            server: &attempt.chosen.entry.name,
             last_event_id: last_event_id.unwrap_or(0),
         });
-        self.source = EventSource {
-            server,
-            sent_at: attempt.sent_at,
-            body: attempt.response.into_body(),
-            connection: Some(attempt.connection),
-            in_flight: attempt.in_flight,
-        };
+        self.source = EventSource::new(attempt);
         Ok(())
     }
 }
--- a/crates/fl-forward/src/sse.rs
+++ b/crates/fl-forward/src/sse.rs
@@ -51,11 +51,6 @@
     pub fn has_partial(&self) -> bool {
         !self.pending.is_empty()
     }
-
-    /// Discards an incomplete event, whose rest will not arrive.
-    pub fn clear(&mut self) {
-        self.pending.clear();
-    }
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/fl-forward/tests/sse.rs
+++ b/crates/fl-forward/tests/sse.rs
@@ -30,7 +30,8 @@
     splitter.push(b"id: 1\ndata: one\n\nid: 2\nda").unwrap();
     assert_eq!(split(&mut splitter).len(), 1);
     assert!(splitter.has_partial());
-    splitter.clear();
+    splitter.push(b"ta: two\n\n").unwrap();
+    assert_eq!(split(&mut splitter), [(Some(2), b"id: 2\ndata: two\n\n".to_vec())]);
     assert!(!splitter.has_partial());
 }
 
