Search each byte of a stream for the end of an event once

While one server sent an event without end, calls that two sound servers could answer got 504 after five seconds. Cause: each read searched all buffered bytes again, so an event that grows to its limit of 1 MiB cost the square of its length on the one processor of the node. The splitter now remembers what it has searched.

bytes_without_end::case_6_stream_body failed before (504 after 5 s) and passes; the test of any split points still passes.

--- a/crates/fl-forward/src/sse.rs
+++ b/crates/fl-forward/src/sse.rs
@@ -27,6 +27,8 @@
 #[derive(Debug, Default)]
 pub struct SseSplitter {
     pending: BytesMut,
+    /// Number of pending bytes that hold no end of an event, so that they are searched only once.
+    searched: usize,
 }
 
 impl SseSplitter {
@@ -42,8 +44,15 @@
 
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<SseEvent> {
-        let end = self.pending.windows(EVENT_END.len()).position(|window| window == EVENT_END)?;
-        let bytes = self.pending.split_to(end + EVENT_END.len()).freeze();
+        let from = self.searched;
+        let mut windows = self.pending[from..].windows(EVENT_END.len());
+        let Some(end) = windows.position(|window| window == EVENT_END) else {
+            // The last byte may begin the end of the event.
+            self.searched = self.pending.len().saturating_sub(EVENT_END.len() - 1);
+            return None;
+        };
+        let bytes = self.pending.split_to(from + end + EVENT_END.len()).freeze();
+        self.searched = 0;
         Some(SseEvent { id: event_id(&bytes), bytes })
     }
 
