Limit the bytes that a server may send before the head of its response

While one server sent interim heads without end, calls that two sound servers could answer got 504, and the node answered nothing for over a minute. Cause: the HTTP library bounds each head, but skips interim ones without counting them, so one connection kept the node's only processor busy until the call's deadline. A connection now fails once a server has sent 512 KiB after a request without completing the head of its response; the call goes on elsewhere as after any broken connection. The limit also covers heads and bytes without end, which the library's own limits ended before.

bytes_without_end::case_3_interim_heads failed before and passes; all twelve cases of the file pass.

--- a/crates/fl-forward/src/connection_pool.rs
+++ b/crates/fl-forward/src/connection_pool.rs
@@ -4,8 +4,11 @@
 //! the server allows: a call that may not be retried must not be sent on a connection that the
 //! server may just have closed.
 
+mod head_limit;
+
 use bytes::Bytes;
 use fl_limits::node_share::node_share;
+use head_limit::{HeadLimit, HeadLimitedStream};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -49,6 +52,7 @@
 /// An open HTTP/1 connection to a backend server.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     io: AbortHandle,
     address: SocketAddr,
     idle_limit: Duration,
@@ -72,6 +76,8 @@
             Ok(Ok(stream)) => stream,
         };
         set_socket_options(&stream).map_err(|error| connect_error(error.to_string()))?;
+        let head_limit = HeadLimit::new();
+        let stream = HeadLimitedStream::new(stream, head_limit.clone());
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
             .map_err(|error| connect_error(error.to_string()))?;
@@ -81,6 +87,7 @@
         });
         Ok(Connection {
             sender,
+            head_limit,
             io: io.abort_handle(),
             address,
             idle_limit: DEFAULT_IDLE_LIMIT,
@@ -93,8 +100,12 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.head_limit.expect_head();
         let mut failure = match self.sender.try_send_request(request).await {
-            Ok(response) => return Ok(response),
+            Ok(response) => {
+                self.head_limit.on_head();
+                return Ok(response);
+            }
             Err(failure) => failure,
         };
         // The library returns the request only if it wrote none of it.
