Log which software version sends a stream, and which attempt it goes on from

The version of an entry and the attempt that a request resumes are now decoded at the boundary; stream_resumed names both versions, and stream_taken_up is new. No decision uses them yet.

--- a/crates/fl-forward/src/backend_response.rs
+++ b/crates/fl-forward/src/backend_response.rs
@@ -7,9 +7,11 @@
 use crate::attempt::{Attempt, AttemptFailure};
 use crate::crash_suspects;
 use crate::forwarding::{Call, Progress};
+use crate::log::event::StreamTakenUp;
 use crate::node::Node;
 use bytes::{Bytes, BytesMut};
 use fl_kernel::clock::unix_ms;
+use fl_protocol::forward::ServerEntry;
 use http::{HeaderMap, StatusCode, header};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
@@ -141,6 +143,7 @@
     };
     count_usage(node, call, progress);
     source.on_first_token();
+    log_taken_up(node, call, &source.server);
     let server = source.server.name.clone();
     let relay = EventRelay {
         node: node.clone(),
@@ -164,6 +167,18 @@
     }))
 }
 
+/// Logs that a stream goes on which an earlier attempt of the caller began.
+fn log_taken_up(node: &Node, call: &Call, server: &ServerEntry) {
+    let Some(last_event_id) = call.head.last_event_id else { return };
+    node.log.write(&StreamTakenUp {
+        request_id: &call.head.id,
+        resumed_attempt: call.head.resumed_attempt.as_deref().unwrap_or_default(),
+        last_event_id,
+        server: &server.name,
+        software_version: &server.software_version,
+    });
+}
+
 /// Counts the call for the usage report, at most once.
 fn count_usage(node: &Node, call: &Call, progress: &mut Progress) {
     if progress.usage_counted {
--- a/crates/fl-forward/src/backend_response/relay.rs
+++ b/crates/fl-forward/src/backend_response/relay.rs
@@ -244,6 +244,8 @@
         self.node.log.write(&StreamResumed {
             request_id: &self.call.head.id,
             server: &attempt.chosen.entry.name,
+            software_version: &attempt.chosen.entry.software_version,
+            version_before: &self.source.server.software_version,
             last_event_id: last_event_id.unwrap_or(0),
         });
         self.source = EventSource::new(attempt);
--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -6,7 +6,7 @@
 
 pub use call::{
     AttemptFailed, CallEnded, CallRefused, QuarantineChanged, QuotaShort, ServerCrashed,
-    StreamResumed,
+    StreamResumed, StreamTakenUp,
 };
 pub use duty::{DutyFailed, FleetOrdered, LeaseChanged, UsageReported};
 
@@ -57,6 +57,7 @@
     AttemptFailed<'_> => "attempt_failed",
     CallEnded<'_> => "call_ended",
     StreamResumed<'_> => "stream_resumed",
+    StreamTakenUp<'_> => "stream_taken_up",
     PeerChanged<'_> => "peer_changed",
     ZoneChanged<'_> => "zone_changed",
     ReaderChanged => "reader_changed",
--- a/crates/fl-forward/src/log/event/call.rs
+++ b/crates/fl-forward/src/log/event/call.rs
@@ -116,6 +116,21 @@
     pub in_flight: u32,
 }
 
+/// A caller took up a stream that an earlier attempt had begun.
+#[derive(Debug, Serialize)]
+pub struct StreamTakenUp<'a> {
+    /// The id of the caller's attempt.
+    pub request_id: &'a str,
+    /// The id of the attempt that brought the first event; empty if the caller names none.
+    pub resumed_attempt: &'a str,
+    /// The id of the last event that the caller has.
+    pub last_event_id: u64,
+    /// The backend server that sends the rest of the stream.
+    pub server: &'a str,
+    /// The version of its software.
+    pub software_version: &'a str,
+}
+
 /// A stream was resumed at another backend server.
 #[derive(Debug, Serialize)]
 pub struct StreamResumed<'a> {
@@ -123,6 +138,10 @@
     pub request_id: &'a str,
     /// The backend server that sends the rest of the stream.
     pub server: &'a str,
+    /// The version of its software.
+    pub software_version: &'a str,
+    /// The version of the software that sent the events before.
+    pub version_before: &'a str,
     /// The id of the last event that the caller has.
     pub last_event_id: u64,
 }
--- a/crates/fl-forward/tests/support/node.rs
+++ b/crates/fl-forward/tests/support/node.rs
@@ -166,5 +166,6 @@
         state: ServerState::Ready,
         reclaimable: false,
         born_ms: None,
+        software_version: String::new(),
     }
 }
--- a/crates/fl-protocol/src/forward.rs
+++ b/crates/fl-protocol/src/forward.rs
@@ -89,6 +89,8 @@
     pub key: Option<String>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Id of the caller's attempt that received the first event of the stream, if it resumes one.
+    pub resumed_attempt: Option<CallId>,
     /// Declared size and prompt parts, if the call is a model call.
     pub model: Option<ModelCall>,
 }
@@ -122,6 +124,9 @@
     /// Start of this instance of the server, in Unix milliseconds, if the entry says so. A server
     /// may start again under its name; it then knows nothing of before.
     pub born_ms: Option<u64>,
+    /// Version of the server's software; empty if the entry does not say. What two versions write
+    /// in one stream does not fit together.
+    pub software_version: String,
 }
 
 /// What a response of a backend server asks of the nodes.
--- a/crates/fl-routing/tests/placement.rs
+++ b/crates/fl-routing/tests/placement.rs
@@ -15,6 +15,7 @@
         state: ServerState::Ready,
         reclaimable: false,
         born_ms: None,
+        software_version: String::new(),
     };
     (0..count).map(entry).collect()
 }
--- a/crates/fl-routing/tests/registry_view.rs
+++ b/crates/fl-routing/tests/registry_view.rs
@@ -17,6 +17,7 @@
         state,
         reclaimable: false,
         born_ms: None,
+        software_version: String::new(),
     }
 }
 
