Let a stream go on only at the software version that began it

Cause: no source read the version of a server, so placement sent the rest of a stream to any server of the service, within one answer; and the node at which a caller took a stream up could not know what had begun it. Class: state of a stream that matters beyond the one node and server that hold it.

The version now filters placement for the rest of a stream. When a stream's first event arrives, one node in each data centre is told its service and version; the node at which it is taken up asks there, for 120 ms at most. A stream of which nothing is known goes on only if its service had one version alone for 30 s, and is refused otherwise: it did not run.

--- a/crates/fl-forward/src/attempt.rs
+++ b/crates/fl-forward/src/attempt.rs
@@ -3,9 +3,10 @@
 use crate::connection_pool::{Connection, SendError};
 use crate::forwarding::{Call, Progress, refuse_denied, refuse_expired, refuse_failed};
 use crate::node::Node;
-use crate::servers::{ChosenServer, InFlightCall, NoServer, note_response};
+use crate::servers::{ChosenServer, InFlightCall, NoServer, ServerRequest, note_response};
 use fl_kernel::forward::{Refusal, ResponseHead, SendOptions};
 use fl_protocol::forward::ServerEntry;
+use fl_routing::stream_origins::StreamOrigin;
 use http::Response;
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -48,6 +49,15 @@
     pub sent_at: Instant,
 }
 
+/// Where a stream goes on; empty for a call that is for no rest of a stream.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Resumption {
+    /// The last event that the caller has.
+    pub last_event_id: Option<u64>,
+    /// The service and the software version that sent it.
+    pub origin: Option<StreamOrigin>,
+}
+
 /// Why an attempt did not get the head of a response.
 pub enum AttemptError {
     /// This attempt tried no server; the call is refused.
@@ -58,23 +68,26 @@
 
 /// Sends a call to the server that placement prefers and reads the head of its response.
 ///
-/// `last_event_id` is the last event of a stream that the caller has, if the stream is resumed.
+/// `resumption` says where a stream goes on, if the call is for the rest of one.
 pub async fn send_attempt(
     node: &Arc<Node>,
     call: &Arc<Call>,
     progress: &mut Progress,
-    last_event_id: Option<u64>,
+    resumption: Resumption,
 ) -> Result<Attempt, AttemptError> {
     let time_left = call.admission.deadline.saturating_duration_since(Instant::now());
     if time_left < TIME_LEFT_MIN {
         return Err(AttemptError::Refused(refuse_expired(progress)));
     }
-    let model = call.head.model.as_ref();
     let is_urgent = call.admission.is_urgent;
-    let own_zone = &node.settings.zone;
-    let service = &call.admission.service;
-    let chosen =
-        node.servers.choose(service, model, is_urgent, own_zone, &progress.excluded_servers);
+    let chosen = node.servers.choose(&ServerRequest {
+        service: &call.admission.service,
+        call: call.head.model.as_ref(),
+        is_urgent,
+        own_zone: &node.settings.zone,
+        excluded_servers: &progress.excluded_servers,
+        origin: resumption.origin,
+    });
     let chosen = chosen.map_err(|no_server| {
         AttemptError::Refused(match no_server {
             NoServer::NoneUsable => refuse_failed(progress, "no backend server can take the call"),
@@ -83,7 +96,7 @@
     })?;
     let in_flight = InFlightCall::begin(node, &chosen, is_urgent);
     let sent_at = Instant::now();
-    let sending = send(node, call, &chosen, last_event_id);
+    let sending = send(node, call, &chosen, resumption.last_event_id);
     let sent = tokio::time::timeout_at(call.admission.deadline, sending).await;
     let failure = match sent {
         Ok(Ok((connection, head, response))) => match head_failure(&head) {
--- a/crates/fl-forward/src/backend_response.rs
+++ b/crates/fl-forward/src/backend_response.rs
@@ -9,9 +9,11 @@
 use crate::forwarding::{Call, Progress};
 use crate::log::event::StreamTakenUp;
 use crate::node::Node;
+use crate::stream_origins;
 use bytes::{Bytes, BytesMut};
 use fl_kernel::clock::unix_ms;
 use fl_protocol::forward::ServerEntry;
+use fl_routing::stream_origins::StreamOrigin;
 use http::{HeaderMap, StatusCode, header};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
@@ -144,12 +146,17 @@
     count_usage(node, call, progress);
     source.on_first_token();
     log_taken_up(node, call, &source.server);
+    let origin = StreamOrigin::of(&source.server);
+    if first_event.is_some() && call.admission.route.is_resumable_stream() {
+        stream_origins::announce(node, &call.head, origin);
+    }
     let server = source.server.name.clone();
     let relay = EventRelay {
         node: node.clone(),
         call: call.clone(),
         progress: progress.clone(),
         source,
+        origin,
         has_ended: first_event.is_none(),
         first_event,
         last_event_id: call.head.last_event_id,
--- a/crates/fl-forward/src/backend_response/relay.rs
+++ b/crates/fl-forward/src/backend_response/relay.rs
@@ -1,7 +1,7 @@
 //! Relays the events of a stream to a caller; resumes it at another server if the route allows
 //! that.
 
-use crate::attempt::{self, Attempt, AttemptError, AttemptFailure};
+use crate::attempt::{self, Attempt, AttemptError, AttemptFailure, Resumption};
 use crate::connection_pool::Connection;
 use crate::crash_suspects;
 use crate::forwarding::{self, Call, Progress};
@@ -11,6 +11,7 @@
 use crate::sse::{SseError, SseEvent, SseSplitter};
 use bytes::Bytes;
 use fl_protocol::forward::ServerEntry;
+use fl_routing::stream_origins::StreamOrigin;
 use http::header;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
@@ -24,6 +25,8 @@
     pub(super) call: Arc<Call>,
     pub(super) progress: Progress,
     pub(super) source: EventSource,
+    /// The service and the software version that began the stream.
+    pub(super) origin: StreamOrigin,
     pub(super) first_event: Option<SseEvent>,
     pub(super) last_event_id: Option<u64>,
     pub(super) last_event_at: Instant,
@@ -227,9 +230,9 @@
     /// Opens the rest of the stream at another server.
     async fn reconnect(&mut self) -> Result<(), AttemptError> {
         let last_event_id = self.last_event_id;
+        let resumption = Resumption { last_event_id, origin: Some(self.origin) };
         let attempt =
-            attempt::send_attempt(&self.node, &self.call, &mut self.progress, last_event_id)
-                .await?;
+            attempt::send_attempt(&self.node, &self.call, &mut self.progress, resumption).await?;
         if !attempt.head.status.is_success() || !attempt.head.is_signed {
             let failure = AttemptFailure {
                 reason: "the rest of the stream was not sent",
--- a/crates/fl-forward/src/forwarding.rs
+++ b/crates/fl-forward/src/forwarding.rs
@@ -4,7 +4,7 @@
 //! A call that may have run is sent again only if its route allows that.
 
 use crate::admission::Admission;
-use crate::attempt::{AttemptError, AttemptFailure, send_attempt};
+use crate::attempt::{AttemptError, AttemptFailure, Resumption, send_attempt};
 use crate::backend_response::{BackendResponse, ResponseOutcome, open_stream, read_full_response};
 use crate::clock::boot_time;
 use crate::crash_suspects;
@@ -43,6 +43,8 @@
     pub admission: Admission,
     /// Hash of its method, host, path, workspace, body and prompt.
     pub fingerprint: Fingerprint,
+    /// Where its stream goes on, if it resumes one.
+    pub resumption: Resumption,
     /// What it may have in common with calls that crashed servers.
     pub suspect_keys: Vec<SuspectKey>,
 }
@@ -76,8 +78,7 @@
         budget.count_first_attempt(boot_time())
     });
     loop {
-        let attempt = match send_attempt(node, &call, &mut progress, call.head.last_event_id).await
-        {
+        let attempt = match send_attempt(node, &call, &mut progress, call.resumption).await {
             Ok(attempt) => attempt,
             Err(AttemptError::Refused(refusal)) => return Err((refusal, progress)),
             Err(AttemptError::Failed(server, failure, sent_at)) => {
--- a/crates/fl-forward/src/http_server.rs
+++ b/crates/fl-forward/src/http_server.rs
@@ -3,12 +3,14 @@
 mod response;
 
 use crate::admission::{Admission, admit};
+use crate::attempt::Resumption;
 use crate::backend_response::BackendResponse;
 use crate::connection_pool::set_socket_options;
 use crate::connection_timeouts::{ConnectionTimer, TimedConnection};
 use crate::crash_suspects::{self, suspect_keys};
 use crate::forwarding::{Call, Progress, forward_call};
 use crate::node::{ActiveCallGuard, Node};
+use crate::stream_origins::find_origin;
 use bytes::Bytes;
 use fl_kernel::forward::Refusal;
 use fl_protocol::forward::{CallHead, RequestLimits};
@@ -109,7 +111,11 @@
     let fingerprint = fingerprint(&parts, &record.head, &admission, &body);
     let suspect_keys = suspect_keys(fingerprint, record.head.model.as_ref());
     crash_suspects::check(&node, &suspect_keys).map_err(before_sending)?;
+    let mut admission = admission;
+    let origin = find_origin(&node, &record.head, &mut admission).await.map_err(before_sending)?;
+    let resumption = Resumption { last_event_id: record.head.last_event_id, origin };
     let call = Call {
+        resumption,
         fingerprint,
         suspect_keys,
         head: record.head.clone(),
--- a/crates/fl-forward/src/lib.rs
+++ b/crates/fl-forward/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod servers;
 pub mod shared_reads;
 pub mod sse;
+pub mod stream_origins;
 pub mod usage;
 
 pub use lifecycle::run;
--- a/crates/fl-forward/src/lifecycle.rs
+++ b/crates/fl-forward/src/lifecycle.rs
@@ -82,6 +82,7 @@
 }
 
 fn spawn_tasks(node: &Arc<Node>, socket: Arc<UdpSocket>) {
+    node.peers.set_socket(socket.clone());
     tokio::spawn(route_table::watch(node.clone()));
     tokio::spawn(servers::watch(node.clone()));
     tokio::spawn(peers::receive(node.clone(), socket.clone()));
--- a/crates/fl-forward/src/node.rs
+++ b/crates/fl-forward/src/node.rs
@@ -12,6 +12,7 @@
 use crate::route_table::ActiveRouteTable;
 use crate::servers::Servers;
 use crate::shared_reads::ReadIntervals;
+use crate::stream_origins::NodeStreamOrigins;
 use crate::usage::UsageCounts;
 use fl_kernel::forward::{CallCodec, ForwardSettings, PlatformDuties, PlatformStore};
 use parking_lot::Mutex;
@@ -50,6 +51,8 @@
     pub connections: ConnectionPool,
     /// What calls may have in common that crashes servers.
     pub crash_suspects: NodeCrashSuspects,
+    /// What began the streams that callers may take up.
+    pub stream_origins: NodeStreamOrigins,
     /// Quotas of workspaces, shared with the other nodes.
     pub quotas: Quotas,
     /// Retry budgets by service.
@@ -99,6 +102,7 @@
             servers: Servers::default(),
             connections: ConnectionPool::default(),
             crash_suspects: NodeCrashSuspects::default(),
+            stream_origins: NodeStreamOrigins::default(),
             quotas: Quotas::default(),
             usage: UsageCounts::default(),
             duty_lease: DutyLeaseState::default(),
--- a/crates/fl-forward/src/peers.rs
+++ b/crates/fl-forward/src/peers.rs
@@ -23,10 +23,13 @@
 use fl_kernel::forward::ForwardSettings;
 use fl_protocol::{ServiceName, VmName};
 use fl_routing::rendezvous::name_hash;
+use fl_routing::stream_origins::OriginHolder;
 use fl_routing::zone_reachability::LastContact;
 use parking_lot::Mutex;
 use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
 /// Interval of reports in a small fleet. Placement uses the load that peers reported, so this is
@@ -54,6 +57,8 @@
     state: Mutex<State>,
     urgent_report: Notify,
     reader_list_changed: Notify,
+    /// The socket of datagrams, once the node listens on it.
+    socket: OnceLock<Arc<UdpSocket>>,
 }
 
 #[derive(Default)]
@@ -75,9 +80,35 @@
             state: Mutex::new(state),
             urgent_report: Notify::new(),
             reader_list_changed: Notify::new(),
+            socket: OnceLock::new(),
         }
     }
 
+    /// Sets the socket that datagrams are sent on. Before, none is sent.
+    pub fn set_socket(&self, socket: Arc<UdpSocket>) {
+        // A node listens on one socket for as long as it runs.
+        let _ = self.socket.set(socket);
+    }
+
+    /// Sends a datagram to a peer. It may be lost.
+    pub fn send(&self, datagram: &Datagram, to: SocketAddr) {
+        if let Some(socket) = self.socket.get() {
+            datagram.send(socket, to);
+        }
+    }
+
+    /// Returns the peers that may remember the origins of streams: their addresses, and how they
+    /// are ranked.
+    pub fn origin_holders(&self) -> (Vec<SocketAddr>, Vec<OriginHolder>) {
+        let state = self.state.lock();
+        let reporting = state.peers.iter().filter(|peer| !peer.is_silent);
+        let holders = reporting.map(|peer| {
+            let zone = peer.report.zone.clone();
+            (peer.address, OriginHolder { zone, name_hash: peer.address_hash })
+        });
+        holders.unzip()
+    }
+
     /// Returns the number of nodes that may admit calls, including this one.
     pub fn admitting_nodes(&self) -> usize {
         let now = boot_time();
--- a/crates/fl-forward/src/peers/exchange.rs
+++ b/crates/fl-forward/src/peers/exchange.rs
@@ -9,6 +9,7 @@
 use crate::shared_reads::{self, StoreQuery, StoreReply};
 use fl_limits::QuotaReport;
 use fl_routing::crash_suspects::Suspect;
+use fl_routing::stream_origins::{StreamHash, StreamOrigin};
 use fl_routing::zone_reachability::unreachable_zones;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -40,6 +41,10 @@
     Reply(StoreReply),
     /// What the sending node knows of what crashes servers.
     CrashSuspects(Vec<Suspect>),
+    /// A stream and what began it: news for the nodes that remember it, or the reply to a query.
+    StreamBegan(StreamHash, StreamOrigin),
+    /// A query for what began a stream. There is no reply if it is not known.
+    OriginQuery(StreamHash),
 }
 
 impl Datagram {
@@ -119,6 +124,12 @@
             }
             Ok(Datagram::RevisionReply) => {}
             Ok(Datagram::Reply(reply)) => shared_reads::apply_reply(&node, reply),
+            Ok(Datagram::StreamBegan(stream, origin)) => node.stream_origins.record(stream, origin),
+            Ok(Datagram::OriginQuery(stream)) => {
+                if let Some(origin) = node.stream_origins.find(stream) {
+                    Datagram::StreamBegan(stream, origin).send(&socket, from);
+                }
+            }
             Ok(Datagram::CrashSuspects(suspects)) => {
                 crash_suspects::merge(&node, &suspects, "peer")
             }
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -21,6 +21,7 @@
     Candidate, Placement, PlacementRequest, PrefillRate, ServerLoad, place,
 };
 use fl_routing::registry_view::RegistryView;
+use fl_routing::stream_origins::StreamOrigin;
 use parking_lot::Mutex;
 use std::sync::Arc;
 use std::time::Duration;
@@ -65,6 +66,24 @@
     AllDenied(Option<Duration>),
 }
 
+/// What a call needs of the server that it is sent to.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerRequest<'a> {
+    /// The service that the server has to offer.
+    pub service: &'a str,
+    /// The declared size and prompt parts, if the call is a model call.
+    pub call: Option<&'a ModelCall>,
+    /// Whether model engines prefill its prompt before those of other calls.
+    pub is_urgent: bool,
+    /// The data centre of this node.
+    pub own_zone: &'a str,
+    /// Servers that failed the call.
+    pub excluded_servers: &'a [ServerName],
+    /// What began the stream, if the call is for the rest of one: only the same software version
+    /// can go on with it.
+    pub origin: Option<StreamOrigin>,
+}
+
 /// The server that was chosen for a call.
 #[derive(Debug, Clone)]
 pub struct ChosenServer {
@@ -80,19 +99,15 @@
 
 impl Servers {
     /// Chooses a server of a service for a call, and counts the call as sent to it.
-    pub fn choose(
-        &self,
-        service: &str,
-        call: Option<&ModelCall>,
-        is_urgent: bool,
-        own_zone: &str,
-        excluded_servers: &[ServerName],
-    ) -> Result<ChosenServer, NoServer> {
+    pub fn choose(&self, request: &ServerRequest) -> Result<ChosenServer, NoServer> {
+        let ServerRequest { service, call, is_urgent, own_zone, excluded_servers, origin } =
+            *request;
         let now = boot_time();
         let mut state = self.state.lock();
         let usable: Vec<&ServerEntry> = state
             .usable()
             .filter(|entry| entry.service == service && !excluded_servers.contains(&entry.name))
+            .filter(|entry| origin.is_none_or(|origin| StreamOrigin::of(entry) == origin))
             .collect();
         let candidates: Vec<Candidate> = usable
             .iter()
--- a/crates/fl-forward/src/servers/registry.rs
+++ b/crates/fl-forward/src/servers/registry.rs
@@ -91,6 +91,7 @@
     state.digest = digest(&list.entries);
     state.list = Arc::new(ServerList { invalid_entries: Vec::new(), ..list });
     let store_version = state.list.store_version;
+    node.stream_origins.note_list(&state.list.entries);
     drop(state);
     for change in &changes {
         let (server, change) = match change {
--- a/crates/fl-forward/tests/server_notices.rs
+++ b/crates/fl-forward/tests/server_notices.rs
@@ -5,7 +5,9 @@
 
 use fl_forward::Node;
 use fl_forward::clock::boot_time;
-use fl_forward::servers::{NoServer, apply_list, apply_reported_notices, note_response};
+use fl_forward::servers::{
+    NoServer, ServerRequest, apply_list, apply_reported_notices, note_response,
+};
 use fl_kernel::forward::ServerList;
 use fl_protocol::forward::{ResponseNotices, ServerEntry};
 use std::sync::Arc;
@@ -35,7 +37,14 @@
 }
 
 fn choose(node: &Node) -> Result<String, NoServer> {
-    let chosen = node.servers.choose("model", None, false, "zone-a", &[]);
+    let chosen = node.servers.choose(&ServerRequest {
+        service: "model",
+        call: None,
+        is_urgent: false,
+        own_zone: "zone-a",
+        excluded_servers: &[],
+        origin: None,
+    });
     chosen.map(|chosen| chosen.entry.name)
 }
 
--- a/crates/fl-protocol/src/forward/route_table.rs
+++ b/crates/fl-protocol/src/forward/route_table.rs
@@ -156,6 +156,11 @@
 }
 
 impl Route {
+    /// Returns whether its calls are streams that may be resumed.
+    pub fn is_resumable_stream(&self) -> bool {
+        self.kind == CallKind::Stream && self.resumable
+    }
+
     /// Returns whether a call may be retried although it may have run.
     pub fn is_retryable(&self) -> bool {
         match self.kind {
--- a/crates/fl-routing/src/lib.rs
+++ b/crates/fl-routing/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod runner_watch;
 pub mod servers;
 pub mod store_readers;
+pub mod stream_origins;
 pub mod urgency;
 pub mod zone_reachability;
