Count the datagrams between nodes, and those that cannot be sent

The failure to send a datagram was dropped without a count, so nothing told a report that was never sent from one that was lost on the way.

--- a/crates/fl-forward/src/peers/exchange.rs
+++ b/crates/fl-forward/src/peers/exchange.rs
@@ -51,11 +51,21 @@
     /// Sends the datagram. A failure is ignored, as the next datagram makes up for it.
     pub fn send(&self, socket: &UdpSocket, to: SocketAddr) {
         if let Ok(bytes) = postcard::to_stdvec(self) {
-            let _ = socket.try_send_to(&bytes, to);
+            send_bytes(socket, &bytes, to);
         }
     }
 }
 
+/// Sends an encoded datagram. A failure is only counted, as the next datagram makes up for it.
+fn send_bytes(socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
+    metrics::counter!("fl_peer_datagrams_sent_total").increment(1);
+    metrics::counter!("fl_peer_bytes_sent_total").increment(bytes.len() as u64);
+    if let Err(error) = socket.try_send_to(bytes, to) {
+        let labels = [("cause", error.kind().to_string())];
+        metrics::counter!("fl_peer_datagrams_unsent_total", &labels).increment(1);
+    }
+}
+
 /// Sends reports to all peers at intervals until the node ends.
 pub async fn send_reports(node: Arc<Node>, socket: Arc<UdpSocket>) {
     let mut suspects_repeated_at = Instant::now();
@@ -97,8 +107,7 @@
 fn send_to_peers(node: &Node, socket: &UdpSocket, datagram: &Datagram) {
     let Ok(bytes) = postcard::to_stdvec(datagram) else { return };
     for address in node.peers.addresses() {
-        // The next report makes up for a datagram that cannot be sent.
-        let _ = socket.try_send_to(&bytes, address);
+        send_bytes(socket, &bytes, address);
     }
 }
 
@@ -116,6 +125,7 @@
     while let Some(received) = node.cancel.run_until_cancelled(socket.recv_from(&mut buffer)).await
     {
         let Ok((size, from)) = received else { continue };
+        metrics::counter!("fl_peer_datagrams_received_total").increment(1);
         match postcard::from_bytes::<Datagram>(&buffer[..size]) {
             Ok(Datagram::Report(report)) => receive_report(&node, from, *report),
             Ok(Datagram::Query(query)) => {
