--- a/crates/fl-forward/src/peers.rs
+++ b/crates/fl-forward/src/peers.rs
@@ -23,6 +23,7 @@
 use fl_kernel::forward::ForwardSettings;
 use fl_protocol::{ServiceName, VmName};
 use fl_routing::rendezvous::name_hash;
+use fl_routing::report_rounds::ReportRounds;
 use fl_routing::stream_origins::OriginHolder;
 use fl_routing::zone_reachability::LastContact;
 use parking_lot::Mutex;
@@ -32,16 +33,6 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-/// Interval of reports in a small fleet. Placement uses the load that peers reported, so this is
-/// the usual age of its data.
-const REPORT_INTERVAL: Duration = Duration::from_millis(60);
-/// Least interval of reports for each known peer, so that the datagrams sent per second stay
-/// bounded in a large fleet.
-const INTERVAL_PER_PEER: Duration = Duration::from_millis(12);
-/// Shortest interval of reports when one is urgent, without the addition for each peer.
-const URGENT_INTERVAL: Duration = Duration::from_millis(10);
-/// Addition to the shortest interval of reports for each known peer.
-const URGENT_INTERVAL_PER_PEER: Duration = Duration::from_millis(2);
 /// Missed reports after which a peer counts as silent.
 const REPORTS_MISSED: u32 = 4;
 /// Least time without a report until a peer counts as silent, however short the interval is.
@@ -183,10 +174,9 @@
             .collect()
     }
 
-    /// Returns the interval of reports for the current number of peers.
+    /// Returns the longest time between two reports of a peer, for the current number of peers.
     fn interval(&self) -> Duration {
-        let peers = self.state.lock().peers.len() as u32;
-        REPORT_INTERVAL.max(INTERVAL_PER_PEER * peers)
+        ReportRounds::interval(self.state.lock().peers.len())
     }
 
     /// Requests a report to the peers as soon as the interval of urgent reports allows.
@@ -194,12 +184,6 @@
         self.urgent_report.notify_one();
     }
 
-    /// Returns the shortest interval of reports for the current number of peers.
-    fn urgent_interval(&self) -> Duration {
-        let peers = self.state.lock().peers.len() as u32;
-        URGENT_INTERVAL + URGENT_INTERVAL_PER_PEER * peers
-    }
-
     /// Adds a peer unless it is known or the address is this node's own.
     fn add_peer(&self, address: SocketAddr) {
         if address == self.own_address {
--- a/crates/fl-forward/src/peers/exchange.rs
+++ b/crates/fl-forward/src/peers/exchange.rs
@@ -9,6 +9,7 @@
 use crate::shared_reads::{self, StoreQuery, StoreReply};
 use fl_limits::QuotaReport;
 use fl_routing::crash_suspects::Suspect;
+use fl_routing::report_rounds::ReportRounds;
 use fl_routing::stream_origins::{StreamHash, StreamOrigin};
 use fl_routing::zone_reachability::unreachable_zones;
 use serde::{Deserialize, Serialize};
@@ -66,48 +67,67 @@
     }
 }
 
-/// Sends reports to all peers at intervals until the node ends.
+/// Sends reports to the peers, as [`ReportRounds`] decides, until the node ends.
 pub async fn send_reports(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    let mut rounds = ReportRounds::default();
     let mut suspects_repeated_at = Instant::now();
+    let mut repeats_suspects = false;
     loop {
-        for (peer, silence) in node.peers.update_silent_peers() {
-            let silent_ms = silence.as_millis() as u64;
-            node.log.write(&PeerChanged { peer: &peer, change: "silent", silent_ms });
-        }
-        node.servers.set_peer_loads(&node.peers.summed_loads());
-        node.servers.set_admitting_nodes(node.peers.admitting_hashes());
-        update_unreachable_zones(&node);
-        let instance_ids = node.peers.instance_ids();
-        node.quotas.retain_peers(|peer| instance_ids.contains(&peer));
-        send_to_peers(&node, &socket, &Datagram::Report(Box::new(build_report(&node))));
-        let notices = node.servers.notices_to_report();
-        if !notices.is_empty() {
-            send_to_peers(&node, &socket, &Datagram::Notices(notices));
-        }
-        let repeats_suspects = suspects_repeated_at.elapsed() >= SUSPECTS_REPEAT_INTERVAL;
-        if repeats_suspects {
-            suspects_repeated_at = Instant::now();
-        }
-        let suspects = node.crash_suspects.report(repeats_suspects);
-        if !suspects.is_empty() {
-            send_to_peers(&node, &socket, &Datagram::CrashSuspects(suspects));
+        if rounds.begins_round() {
+            update_peer_state(&node);
+            repeats_suspects = suspects_repeated_at.elapsed() >= SUSPECTS_REPEAT_INTERVAL;
+            if repeats_suspects {
+                suspects_repeated_at = Instant::now();
+            }
         }
-        if node.sleep(node.peers.urgent_interval()).await.is_none() {
+        let receivers = rounds.next_receivers(&node.peers.addresses());
+        send_state(&node, &socket, &receivers, repeats_suspects);
+        let peers = node.peers.addresses().len();
+        let (pause, urgent_pause) = rounds.pauses(peers);
+        if node.sleep(urgent_pause).await.is_none() {
             return;
         }
-        let remaining = node.peers.interval().saturating_sub(node.peers.urgent_interval());
         tokio::select! {
             () = node.cancel.cancelled() => return,
-            () = tokio::time::sleep(remaining) => {}
-            () = node.peers.urgent_report.notified() => {}
+            () = tokio::time::sleep(pause.saturating_sub(urgent_pause)) => {}
+            () = node.peers.urgent_report.notified() => rounds.hurry(peers),
         }
     }
 }
 
-fn send_to_peers(node: &Node, socket: &UdpSocket, datagram: &Datagram) {
+/// Updates what follows from the peers' reports.
+fn update_peer_state(node: &Node) {
+    for (peer, silence) in node.peers.update_silent_peers() {
+        let silent_ms = silence.as_millis() as u64;
+        node.log.write(&PeerChanged { peer: &peer, change: "silent", silent_ms });
+    }
+    node.servers.set_peer_loads(&node.peers.summed_loads());
+    node.servers.set_admitting_nodes(node.peers.admitting_hashes());
+    update_unreachable_zones(node);
+    let instance_ids = node.peers.instance_ids();
+    node.quotas.retain_peers(|peer| instance_ids.contains(&peer));
+}
+
+/// Sends all that peers have to know to some of them.
+fn send_state(node: &Node, socket: &UdpSocket, receivers: &[SocketAddr], repeats_suspects: bool) {
+    if receivers.is_empty() {
+        return;
+    }
+    send_to(socket, receivers, &Datagram::Report(Box::new(build_report(node))));
+    let notices = node.servers.notices_to_report();
+    if !notices.is_empty() {
+        send_to(socket, receivers, &Datagram::Notices(notices));
+    }
+    let suspects = node.crash_suspects.report(repeats_suspects);
+    if !suspects.is_empty() {
+        send_to(socket, receivers, &Datagram::CrashSuspects(suspects));
+    }
+}
+
+fn send_to(socket: &UdpSocket, receivers: &[SocketAddr], datagram: &Datagram) {
     let Ok(bytes) = postcard::to_stdvec(datagram) else { return };
-    for address in node.peers.addresses() {
-        send_bytes(socket, &bytes, address);
+    for address in receivers {
+        send_bytes(socket, &bytes, *address);
     }
 }
 
--- a/crates/fl-routing/src/lib.rs
+++ b/crates/fl-routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod quarantine;
 pub mod registry_view;
 pub mod rendezvous;
+pub mod report_rounds;
 pub mod runner_watch;
 pub mod servers;
 pub mod store_readers;
