Send reports to a few peers at a time

At 78 nodes the usage of workspaces was reported short by up to 85%, and nodes took each other for silent although no link was impaired. Cause: each node sent its whole report to all peers at once, in the order of their addresses; 230 kB fill a link of 10 Mbit/s for 185 ms, its queue loses the last ones, and these are the same peers each time. A holder of the lease that had started shortly before then knew little and reported it as the whole. Class: a burst that grows with the fleet, with a failure that nobody counts.

Peers are now sent reports in turn, five each 60 ms, and each step sends what is known by then; the rate and the interval are as before. every_peer_hears_in_time failed before for 39 of 60, 56 of 77 and 318 of 339 peers and passes.

--- a/crates/fl-forward/src/peers/exchange.rs
+++ b/crates/fl-forward/src/peers/exchange.rs
@@ -83,7 +83,7 @@
         let receivers = rounds.next_receivers(&node.peers.addresses());
         send_state(&node, &socket, &receivers, repeats_suspects);
         let peers = node.peers.addresses().len();
-        let (pause, urgent_pause) = rounds.pauses(peers);
+        let (pause, urgent_pause) = rounds.pauses();
         if node.sleep(urgent_pause).await.is_none() {
             return;
         }
--- a/crates/fl-routing/src/report_rounds.rs
+++ b/crates/fl-routing/src/report_rounds.rs
@@ -1,4 +1,8 @@
 //! Decides when a node sends its report to which peer.
+//!
+//! The peers are sent reports in turn, a few at each step. Sent to all at once, the reports of a
+//! large fleet overrun a slow link, and those to the last peers are lost each time. See
+//! `docs/design/100-on-the-platform.md`.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,42 +11,51 @@
 const STEP: Duration = Duration::from_millis(60);
 /// Pause between two steps while a report is urgent.
 const URGENT_STEP: Duration = Duration::from_millis(10);
-/// Pause for each peer, so that the reports sent per second stay bounded in a large fleet.
-const PAUSE_PER_PEER: Duration = Duration::from_millis(12);
-/// Pause for each peer while a report is urgent.
-const URGENT_PAUSE_PER_PEER: Duration = Duration::from_millis(2);
+/// Peers that are sent a report in one step. With the pauses, it bounds the reports that a node
+/// sends per second however large the fleet is.
+const PEERS_PER_STEP: usize = 5;
 
 /// The rounds in which all peers are sent reports.
 #[derive(Debug, Clone, Default)]
 pub struct ReportRounds {
-    urgent_reports: u64,
+    /// The peer that was sent a report last, `None` at the beginning of a round.
+    last: Option<SocketAddr>,
+    /// Number of peers that are still to be sent an urgent report.
+    urgent_left: usize,
 }
 
 impl ReportRounds {
     /// Returns whether the next step begins a round.
     pub fn begins_round(&self) -> bool {
-        true
+        self.last.is_none()
     }
 
     /// Lets each peer be sent a report as soon as possible.
-    pub fn hurry(&mut self, _peers: usize) {
-        self.urgent_reports += 1;
+    pub fn hurry(&mut self, peers: usize) {
+        self.urgent_left = peers;
     }
 
-    /// Returns the peers that are sent a report now, of a list that is sorted.
+    /// Returns the peers that are sent a report now, of a list that is sorted. The list may change
+    /// between two steps.
     pub fn next_receivers(&mut self, peers: &[SocketAddr]) -> Vec<SocketAddr> {
-        peers.to_vec()
+        let from = self.last.map_or(0, |last| peers.partition_point(|peer| *peer <= last));
+        let to = (from + PEERS_PER_STEP).min(peers.len());
+        let receivers = peers[from..to].to_vec();
+        let ends_round = to == peers.len();
+        self.last = receivers.last().copied().filter(|_| !ends_round);
+        self.urgent_left = self.urgent_left.saturating_sub(PEERS_PER_STEP);
+        receivers
     }
 
     /// Returns the pause until the next step, and the shorter one if a report becomes urgent.
-    pub fn pauses(&self, peers: usize) -> (Duration, Duration) {
-        let peers = peers as u32;
-        let urgent = URGENT_STEP + URGENT_PAUSE_PER_PEER * peers;
-        (STEP.max(PAUSE_PER_PEER * peers), urgent)
+    pub fn pauses(&self) -> (Duration, Duration) {
+        let pause = if self.urgent_left > 0 { URGENT_STEP } else { STEP };
+        (pause, URGENT_STEP)
     }
 
     /// Returns the longest time between two reports to the same peer.
     pub fn interval(peers: usize) -> Duration {
-        STEP.max(PAUSE_PER_PEER * peers as u32)
+        let steps = peers.div_ceil(PEERS_PER_STEP).max(1);
+        STEP * steps as u32
     }
 }
--- a/crates/fl-routing/tests/report_rounds.rs
+++ b/crates/fl-routing/tests/report_rounds.rs
@@ -56,7 +56,7 @@
                 last[index] = now;
             }
         }
-        now += rounds.pauses(peers.len()).0;
+        now += rounds.pauses().0;
     }
     (0..peers.len()).map(|index| longest[index].max(now - last[index])).collect()
 }
@@ -80,14 +80,14 @@
     rounds.next_receivers(&peers);
     rounds.hurry(peers.len());
     let mut unsent = peers.clone();
-    let mut now = rounds.pauses(peers.len()).1;
+    let mut now = rounds.pauses().1;
     while !unsent.is_empty() && now < RUN_TIME {
         let receivers = rounds.next_receivers(&peers);
         unsent.retain(|peer| !receivers.contains(peer));
-        now += rounds.pauses(peers.len()).0;
+        now += rounds.pauses().0;
     }
     assert!(unsent.is_empty());
-    let sent_by = now.saturating_sub(rounds.pauses(peers.len()).0);
+    let sent_by = now.saturating_sub(rounds.pauses().0);
     let limit = URGENT_ONCE + URGENT_PER_PEER * peers.len() as u32;
     assert!(sent_by <= limit, "sent after {sent_by:?}, {limit:?} allowed");
 }
