Keep the quarantine cheap when many servers end at once

Suspected cause, by reading: each loss makes hundreds of suspects with one crash each; every node passed on for three seconds what it had heard from others, so each heard each suspect from all, and each report judged all suspects anew, also those with too few crashes to be quarantined. Nodes now report only what they saw themselves and what is quarantined, and suspects with too few crashes are left out before they are judged; what is quarantined is the same. The tests of the quarantine and of the modelled fleet pass.

--- a/crates/fl-routing/src/crash_suspects.rs
+++ b/crates/fl-routing/src/crash_suspects.rs
@@ -82,6 +82,8 @@
 struct Entry {
     suspect: Suspect,
     changed_at: Duration,
+    /// When this node itself saw a crash or an answer that changed the entry.
+    changed_here_at: Option<Duration>,
     /// Whether a crash was seen by this node.
     is_seen_here: bool,
 }
@@ -133,6 +135,7 @@
             entry.is_seen_here = true;
             if entry.suspect.add_crash(crash) {
                 entry.changed_at = now;
+                entry.changed_here_at = Some(now);
             }
         }
         self.judge(now)
@@ -147,6 +150,7 @@
             let entry = &mut self.entries[index];
             if entry.suspect.clear() {
                 entry.changed_at = now;
+                entry.changed_here_at = Some(now);
                 has_cleared = true;
             }
         }
@@ -180,12 +184,15 @@
         suspects.any(|suspect| separate_crashes(&suspect.crashes) >= CRASHES_TO_SUSPECT)
     }
 
-    /// Returns what peers have to know: recent changes, and if `is_complete` all that is
-    /// quarantined. The suspects hold at most `crashes_max` crashes in all; those with most crashes
+    /// Returns what peers have to know: recent changes that this node saw itself, and if
+    /// `is_complete` all that is quarantined. What peers said is not passed on, as each node tells
+    /// all others. The suspects hold at most `crashes_max` crashes in all; those with most crashes
     /// come first.
     pub fn report(&self, is_complete: bool, crashes_max: usize, now: Duration) -> Vec<Suspect> {
         let is_reported = |entry: &&Entry| {
-            let is_recent = now.saturating_sub(entry.changed_at) < CHANGE_REPEATED;
+            let is_recent = entry
+                .changed_here_at
+                .is_some_and(|changed_at| now.saturating_sub(changed_at) < CHANGE_REPEATED);
             is_recent || (is_complete && self.is_quarantined(entry))
         };
         let mut suspects: Vec<&Suspect> =
@@ -249,7 +256,11 @@
         explained: &[InstanceHash],
     ) -> Option<Vec<Culprit>> {
         let suspects = self.entries.iter().map(|entry| &entry.suspect);
-        let open = suspects.filter(|suspect| !judged.contains(&suspect.key));
+        // Most suspects have too few crashes whatever explains them.
+        let open = suspects.filter(|suspect| {
+            suspect.crashes.len() >= suspect.key.crashes_to_quarantine()
+                && !judged.contains(&suspect.key)
+        });
         let counted = open.map(|suspect| self.culprit(suspect, explained));
         let mut culprits: Vec<Culprit> = counted.filter(Culprit::has_enough_crashes).collect();
         culprits.sort_by_key(|culprit| (std::cmp::Reverse(culprit.crashes), culprit.last_success));
@@ -315,7 +326,9 @@
         }
         let index = self.index(key).unwrap_or_else(|index| {
             let suspect = Suspect { key, generation: 0, crashes: Vec::new() };
-            self.entries.insert(index, Entry { suspect, changed_at: now, is_seen_here: false });
+            let entry =
+                Entry { suspect, changed_at: now, changed_here_at: None, is_seen_here: false };
+            self.entries.insert(index, entry);
             index
         });
         &mut self.entries[index]
