Move a suspect and its merging into a module of its own

What is known of one suspect, how it is merged and which of its crashes are separate now stand in crash_suspects/suspect.rs; lines were moved, none was changed but for its visibility.

--- a/crates/fl-routing/src/crash_suspects.rs
+++ b/crates/fl-routing/src/crash_suspects.rs
@@ -6,26 +6,15 @@
 //! was in flight at most of them; it is quarantined once there are enough. Nodes merge what they
 //! know in any order and any number of times. See `docs/design/045-crashing-requests.md`.
 
-use fl_protocol::UnixMs;
-use serde::{Deserialize, Serialize};
-use std::time::Duration;
+mod suspect;
+
+pub use suspect::{Crash, InstanceHash, Suspect, SuspectKey};
 
-/// Hash of one instance of a server.
-pub type InstanceHash = u64;
+use std::time::Duration;
+use suspect::separate_crashes;
 
-/// Separate crashes after which a prompt part is quarantined. Calls that share no other part may
-/// crash five servers before it has to be known.
-const PART_CRASHES: usize = 4;
-/// Separate crashes after which a content is quarantined. A content may crash three servers before
-/// it has to be known.
-const CONTENT_CRASHES: usize = 3;
 /// Separate crashes after which a call that was in flight is not sent once more.
 const CRASHES_TO_SUSPECT: usize = 2;
-/// Crashes within this time of each other are one, unless a call was sent in between: servers that
-/// end together are no evidence against the calls that they had in common.
-const SEPARATION_MS: u64 = 250;
-/// Crashes that are kept of a suspect.
-const CRASHES_KEPT: usize = 16;
 /// How long a suspect is remembered after the last change.
 pub const RETENTION: Duration = Duration::from_secs(3600);
 /// How long a cleared suspect is remembered, so that peers learn that it is cleared.
@@ -35,38 +24,6 @@
 /// Answered prompt parts and contents of which the last time is kept.
 const SUCCESSES_KEPT: usize = 4096;
 
-/// What calls may have in common.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum SuspectKey {
-    /// The id of a prompt part that different calls may share.
-    PromptPart(u64),
-    /// The fingerprint of a call's content.
-    Content(u64),
-}
-
-/// The end of one instance of a server with a call in flight.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Crash {
-    /// The instance of the server.
-    pub instance: InstanceHash,
-    /// When the call was sent to it, in Unix milliseconds.
-    pub sent_ms: UnixMs,
-    /// When the connection broke, in Unix milliseconds.
-    pub crashed_ms: UnixMs,
-}
-
-/// What is known of one suspect.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Suspect {
-    /// What the calls had in common.
-    pub key: SuspectKey,
-    /// Grows each time that an answered call clears the suspect; crashes of an earlier generation
-    /// are void.
-    pub generation: u32,
-    /// The crashes of this generation, one for each instance of a server, sorted by instance.
-    pub crashes: Vec<Crash>,
-}
-
 /// A suspect that was quarantined, or that is no longer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuarantineChange {
@@ -359,71 +316,3 @@
         self.crashes >= self.key.crashes_to_quarantine()
     }
 }
-
-impl SuspectKey {
-    fn crashes_to_quarantine(self) -> usize {
-        match self {
-            SuspectKey::PromptPart(_) => PART_CRASHES,
-            SuspectKey::Content(_) => CONTENT_CRASHES,
-        }
-    }
-}
-
-impl Suspect {
-    /// Adds a crash unless the instance is known or enough are kept. Returns whether it was added.
-    fn add_crash(&mut self, crash: Crash) -> bool {
-        match self.crashes.binary_search_by_key(&crash.instance, |known| known.instance) {
-            Err(index) if self.crashes.len() < CRASHES_KEPT => {
-                self.crashes.insert(index, crash);
-                true
-            }
-            _ => false,
-        }
-    }
-
-    /// Makes the crashes void. Returns whether there were any.
-    fn clear(&mut self) -> bool {
-        if self.crashes.is_empty() {
-            return false;
-        }
-        self.generation += 1;
-        self.crashes.clear();
-        true
-    }
-
-    /// Merges what another node knows of the same suspect. Returns whether that changed anything.
-    fn merge(&mut self, other: &Suspect) -> bool {
-        if other.generation < self.generation {
-            return false;
-        }
-        if other.generation > self.generation {
-            self.generation = other.generation;
-            self.crashes = other.crashes.clone();
-            return true;
-        }
-        let mut has_changed = false;
-        for crash in &other.crashes {
-            has_changed |= self.add_crash(*crash);
-        }
-        has_changed
-    }
-}
-
-/// Returns how many of the crashes are separate: a call was sent after the one before, or it was
-/// long enough before.
-fn separate_crashes(crashes: &[Crash]) -> usize {
-    let mut by_time = crashes.to_vec();
-    by_time.sort_by_key(|crash| crash.crashed_ms);
-    let mut last_ms: Option<UnixMs> = None;
-    let mut count = 0;
-    for crash in &by_time {
-        let is_separate = last_ms.is_none_or(|last_ms| {
-            crash.sent_ms >= last_ms || crash.crashed_ms >= last_ms + SEPARATION_MS
-        });
-        if is_separate {
-            count += 1;
-            last_ms = Some(crash.crashed_ms);
-        }
-    }
-    count
-}
