Log whether a node reaches any backend server

No line told a node without links to the servers from one whose servers had ended. A node now counts distinct servers that it could not reach since it reached one, and calls that wait while nothing arrives; on a suspicion it probes four servers. links_changed and fl_links_lost say what came of it. Nothing rests on it yet.

--- a/crates/fl-forward/src/attempt.rs
+++ b/crates/fl-forward/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::connection_pool::{Connection, SendError};
 use crate::forwarding::{Call, Progress, refuse_denied, refuse_expired, refuse_failed};
+use crate::links;
 use crate::node::Node;
 use crate::servers::{ChosenServer, InFlightCall, NoServer, ServerRequest, note_response};
 use fl_kernel::forward::{Refusal, ResponseHead, SendOptions};
@@ -168,7 +169,7 @@
             metrics::counter!("fl_connections_reused_total").increment(1);
             connection
         }
-        None => open(address).await?,
+        None => links::open(node, address).await?,
     };
     loop {
         let options = SendOptions {
@@ -185,8 +186,10 @@
             &options,
         );
         let request = request.map_err(|error| SendError::NotSent(error.to_string()))?;
+        node.links.record_sent();
         match connection.send(request).await {
             Ok(response) => {
+                node.links.record_received();
                 let (parts, body) = response.into_parts();
                 let head = node.platform.codec.parse_response(&call.head.id, &parts);
                 connection.set_keep_alive(head.keep_alive);
@@ -199,14 +202,9 @@
             // server.
             Err(SendError::NotSent(_)) if is_pooled => {
                 is_pooled = false;
-                connection = open(address).await?;
+                connection = links::open(node, address).await?;
             }
             Err(error) => return Err(error),
         }
     }
 }
-
-async fn open(address: std::net::SocketAddr) -> Result<Connection, SendError> {
-    metrics::counter!("fl_connections_opened_total").increment(1);
-    Connection::open(address).await
-}
--- a/crates/fl-forward/src/backend_response.rs
+++ b/crates/fl-forward/src/backend_response.rs
@@ -133,7 +133,7 @@
     let mut headers = node.platform.codec.response_headers(attempt.response.headers());
     let (status, placement) = (attempt.head.status, attempt.chosen.placement);
     let in_flight = attempt.chosen.in_flight;
-    let mut source = EventSource::new(attempt);
+    let mut source = EventSource::new(node, attempt);
     let first_event = tokio::time::timeout_at(call.admission.deadline, source.next_event());
     let first_event = match first_event.await {
         Ok(Ok(first_event)) => first_event,
--- a/crates/fl-forward/src/backend_response/relay.rs
+++ b/crates/fl-forward/src/backend_response/relay.rs
@@ -35,6 +35,7 @@
 
 /// The server and the connection that the events come from.
 pub(super) struct EventSource {
+    node: Arc<Node>,
     pub(super) server: ServerEntry,
     /// When the call was sent to the server.
     sent_at: Instant,
@@ -91,11 +92,12 @@
 
 impl EventSource {
     /// Reads events from the response of an attempt.
-    pub(super) fn new(attempt: Attempt) -> Self {
+    pub(super) fn new(node: &Arc<Node>, attempt: Attempt) -> Self {
         let (parts, body) = attempt.response.into_parts();
         let is_framed = parts.headers.contains_key(header::CONTENT_LENGTH)
             || parts.headers.contains_key(header::TRANSFER_ENCODING);
         EventSource {
+            node: node.clone(),
             server: attempt.chosen.entry,
             sent_at: attempt.sent_at,
             body,
@@ -116,6 +118,7 @@
             }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
+                    self.node.links.record_received();
                     let data = frame.data_ref().map_or(&[][..], |data| data);
                     self.splitter.push(data)?;
                 }
@@ -251,7 +254,7 @@
             version_before: &self.source.server.software_version,
             last_event_id: last_event_id.unwrap_or(0),
         });
-        self.source = EventSource::new(attempt);
+        self.source = EventSource::new(&self.node, attempt);
         Ok(())
     }
 }
--- a/crates/fl-forward/src/crash_suspects.rs
+++ b/crates/fl-forward/src/crash_suspects.rs
@@ -8,8 +8,8 @@
 pub use stored::keep_stored;
 
 use crate::clock::boot_time;
-use crate::connection_pool::Connection;
 use crate::forwarding::Call;
+use crate::links;
 use crate::log::event::{QuarantineChanged, ServerCrashed};
 use crate::node::Node;
 use fl_kernel::clock::unix_ms;
@@ -155,9 +155,8 @@
 
 /// Returns whether a server accepts a connection, which is kept for the next call.
 async fn accepts_connections(node: &Arc<Node>, server: &ServerEntry) -> bool {
-    let opening = tokio::time::timeout(ACCEPT_TIMEOUT, Connection::open(server.address)).await;
+    let opening = tokio::time::timeout(ACCEPT_TIMEOUT, links::open(node, server.address)).await;
     let Ok(Ok(connection)) = opening else { return false };
-    metrics::counter!("fl_connections_opened_total").increment(1);
     node.keep_connection(connection, &server.service).await;
     true
 }
--- a/crates/fl-forward/src/lib.rs
+++ b/crates/fl-forward/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod forwarding;
 pub mod http_server;
 pub mod lifecycle;
+pub mod links;
 pub mod log;
 pub mod metrics_endpoint;
 pub mod node;
--- a/crates/fl-forward/src/lifecycle.rs
+++ b/crates/fl-forward/src/lifecycle.rs
@@ -4,7 +4,7 @@
 use crate::log::event::{NodeLeaving, NodeReady, NodeStarted, NodeStopped, SettingsReread};
 use crate::node::{Node, PlatformAdapters};
 use crate::{
-    crash_suspects, duties, http_server, metrics_endpoint, peers, route_table, servers,
+    crash_suspects, duties, http_server, links, metrics_endpoint, peers, route_table, servers,
     shared_reads,
 };
 use bytes::Bytes;
@@ -85,6 +85,7 @@
     node.peers.set_socket(socket.clone());
     tokio::spawn(route_table::watch(node.clone()));
     tokio::spawn(servers::watch(node.clone()));
+    tokio::spawn(links::watch(node.clone()));
     tokio::spawn(peers::receive(node.clone(), socket.clone()));
     tokio::spawn(shared_reads::query_reader(node.clone(), socket.clone()));
     tokio::spawn(peers::send_reports(node.clone(), socket));
--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -51,6 +51,7 @@
     ServerPaused<'_> => "server_paused",
     ServerNoticeInvalid<'_> => "server_notice_invalid",
     ServerCrashed<'_> => "server_crashed",
+    LinksChanged<'_> => "links_changed",
     QuarantineChanged<'_> => "quarantine_changed",
     CallRefused<'_> => "call_refused",
     QuotaShort<'_> => "quota_short",
@@ -247,6 +248,17 @@
     pub server: &'a str,
 }
 
+/// This node no longer reaches any backend server, or reaches one again.
+#[derive(Debug, Serialize)]
+pub struct LinksChanged<'a> {
+    /// `lost` or `regained`.
+    pub change: &'a str,
+    /// Distinct servers that could not be reached since one was; 0 when one is reached again.
+    pub failed_servers: usize,
+    /// How long none was reached; 0 when the links are lost.
+    pub lost_ms: u64,
+}
+
 /// A peer's reports began, stopped or resumed.
 #[derive(Debug, Serialize)]
 pub struct PeerChanged<'a> {
--- a/crates/fl-forward/src/node.rs
+++ b/crates/fl-forward/src/node.rs
@@ -5,6 +5,7 @@
 use crate::connection_pool::{Connection, ConnectionPool, idle_connections_max};
 use crate::crash_suspects::NodeCrashSuspects;
 use crate::duties::DutyLeaseState;
+use crate::links::NodeLinks;
 use crate::log::Log;
 use crate::log::event::StoreIncarnationSeen;
 use crate::peers::Peers;
@@ -49,6 +50,8 @@
     pub servers: Servers,
     /// Idle connections to backend servers.
     pub connections: ConnectionPool,
+    /// Whether it reaches any backend server.
+    pub links: NodeLinks,
     /// What calls may have in common that crashes servers.
     pub crash_suspects: NodeCrashSuspects,
     /// What began the streams that callers may take up.
@@ -101,6 +104,7 @@
             route_table: ActiveRouteTable::default(),
             servers: Servers::default(),
             connections: ConnectionPool::default(),
+            links: NodeLinks::default(),
             crash_suspects: NodeCrashSuspects::default(),
             stream_origins: NodeStreamOrigins::default(),
             quotas: Quotas::default(),
--- a/crates/fl-routing/src/lib.rs
+++ b/crates/fl-routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! `fl-node` routes calls to runners by [`policy`], `fl-forward` places calls on registered backend
 //! servers by [`placement`]. See `docs/design/050-routing.md`.
 
+pub mod backend_links;
 pub mod cache_estimate;
 pub mod crash_suspects;
 pub mod in_flight;
