Connect to servers from the VM's own address

Connections to servers came from whichever local address the kernel chose. On a VM with several, a server saw an address that is not the VM's; stand-ins on loopback addresses could not tell one node from another, so no test could cut off one node. Connections are bound to the address of the settings now.

--- a/crates/fl-forward/src/connection_pool.rs
+++ b/crates/fl-forward/src/connection_pool.rs
@@ -16,9 +16,9 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -66,10 +66,10 @@
 }
 
 impl Connection {
-    /// Opens a connection and starts the task that drives it.
-    pub async fn open(address: SocketAddr) -> Result<Self, SendError> {
+    /// Opens a connection from a local address and starts the task that drives it.
+    pub async fn open(source: IpAddr, address: SocketAddr) -> Result<Self, SendError> {
         let connect_error = |error: String| SendError::NotConnected(error);
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(source, address)).await;
         let stream = match connecting {
             Err(_) => return Err(connect_error("no answer in time".to_string())),
             Ok(Err(error)) => return Err(connect_error(error.to_string())),
@@ -125,6 +125,18 @@
     }
 }
 
+/// Connects from a local address, by which servers on the platform know the VM.
+async fn connect(source: IpAddr, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if source.is_ipv4() == address.is_ipv4() {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    socket.connect(address).await
+}
+
 /// Returns how many idle connections each of `nodes` keeps to a server that accepts
 /// `connections_max` from all of them; 0 means that the limit is not declared.
 pub fn idle_connections_max(connections_max: u32, nodes: usize) -> usize {
--- a/crates/fl-forward/src/links.rs
+++ b/crates/fl-forward/src/links.rs
@@ -60,7 +60,7 @@
 /// Returns [`SendError::NotConnected`] if the server does not accept it in time.
 pub async fn open(node: &Node, server: SocketAddr) -> Result<Connection, SendError> {
     metrics::counter!("fl_connections_opened_total").increment(1);
-    let opened = Connection::open(server).await;
+    let opened = Connection::open(node.settings.peer_address.ip(), server).await;
     match &opened {
         Ok(_) => {
             let change = node.links.links.lock().record_connected(boot_time());
