--- a/crates/fl-standins/src/http_server.rs
+++ b/crates/fl-standins/src/http_server.rs
@@ -1,6 +1,7 @@
 //! The HTTP server of a stand-in, which can close or silence its connections on demand.
 
 use crate::http_util::{CloseConnection, HandlerResult};
+use crate::packet_filter::{drop_packets, pass_packets};
 use crate::silenceable_stream::SilenceableStream;
 use futures::future::BoxFuture;
 use http::Request;
@@ -9,8 +10,9 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use socket2::{SockRef, Socket};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -35,10 +37,25 @@
     ) -> BoxFuture<'static, HandlerResult>;
 }
 
-/// An open connection with the flag that silences it.
+/// An open connection with what silences and ends it.
 struct OpenConnection {
     id: ConnectionId,
     silent: Arc<AtomicBool>,
+    /// A second handle of its socket.
+    socket: Option<Socket>,
+    caller: Option<IpAddr>,
+    reset: CancellationToken,
+}
+
+/// What a cut does to the connections that are open when it begins. New ones are never answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CutKind {
+    /// They hang: packets are dropped both ways, unacknowledged.
+    Hang,
+    /// They are reset.
+    Reset,
+    /// They live on.
+    Spare,
 }
 
 /// The open connections of a stand-in.
@@ -52,16 +69,82 @@
     next: ConnectionId,
     /// Sorted by id.
     open: Vec<OpenConnection>,
+    /// A second handle of the listener.
+    listener: Option<Socket>,
+    /// Callers that are cut off.
+    cut_off: Vec<Ipv4Addr>,
 }
 
 impl Connections {
-    fn add(&self) -> (ConnectionId, Arc<AtomicBool>) {
+    fn add(&self, socket: &TcpStream) -> (ConnectionId, Arc<AtomicBool>, CancellationToken) {
         let mut state = self.state.lock();
         let id = state.next;
         state.next += 1;
         let silent = Arc::new(AtomicBool::new(false));
-        state.open.push(OpenConnection { id, silent: silent.clone() });
-        (id, silent)
+        let reset = CancellationToken::new();
+        state.open.push(OpenConnection {
+            id,
+            silent: silent.clone(),
+            socket: SockRef::from(socket).try_clone().ok(),
+            caller: socket.peer_addr().ok().map(|address| address.ip()),
+            reset: reset.clone(),
+        });
+        (id, silent, reset)
+    }
+
+    /// Cuts callers off by their addresses, in place of those that were.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the kernel does not take the filter of a socket.
+    pub fn cut_off(&self, callers: &[Ipv4Addr], kind: CutKind) -> io::Result<()> {
+        let mut state = self.state.lock();
+        state.cut_off = callers.to_vec();
+        if let Some(listener) = &state.listener {
+            drop_packets(SockRef::from(listener), callers)?;
+        }
+        let is_cut_off = |open: &&OpenConnection| match open.caller {
+            Some(IpAddr::V4(caller)) => callers.contains(&caller),
+            _ => false,
+        };
+        for open in state.open.iter().filter(is_cut_off) {
+            let Some(socket) = &open.socket else { continue };
+            match kind {
+                CutKind::Hang => drop_packets(SockRef::from(socket), callers)?,
+                CutKind::Reset => {
+                    socket.set_linger(Some(Duration::ZERO))?;
+                    open.reset.cancel();
+                }
+                CutKind::Spare => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends the cut.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the kernel does not take the filter of a socket away.
+    pub fn reconnect(&self) -> io::Result<()> {
+        let mut state = self.state.lock();
+        state.cut_off.clear();
+        let sockets = state.open.iter().filter_map(|open| open.socket.as_ref());
+        for socket in sockets.chain(&state.listener) {
+            pass_packets(SockRef::from(socket))?;
+        }
+        Ok(())
+    }
+
+    /// Notes the listener, or that it is closed.
+    fn set_listener(&self, listener: Option<&TcpListener>) -> io::Result<()> {
+        let mut state = self.state.lock();
+        let handle = listener.map(|listener| SockRef::from(listener).try_clone()).transpose()?;
+        if let Some(listener) = handle.as_ref().filter(|_| !state.cut_off.is_empty()) {
+            drop_packets(SockRef::from(listener), &state.cut_off)?;
+        }
+        state.listener = handle;
+        Ok(())
     }
 
     fn remove(&self, id: ConnectionId) {
@@ -98,12 +181,22 @@
     pub async fn start(
         address: SocketAddr,
         service: Arc<impl RequestHandler>,
+    ) -> io::Result<HttpServer> {
+        HttpServer::start_with(address, service, Arc::default()).await
+    }
+
+    /// Like [`HttpServer::start`], with connections that are shared with earlier servers at the
+    /// address, so that a cut outlives a restart.
+    pub async fn start_with(
+        address: SocketAddr,
+        service: Arc<impl RequestHandler>,
+        connections: Arc<Connections>,
     ) -> io::Result<HttpServer> {
         let listener = TcpListener::bind(address).await?;
+        connections.set_listener(Some(&listener))?;
         let address = listener.local_addr()?;
         let cancel = CancellationToken::new();
         let tasks = TaskTracker::new();
-        let connections = Arc::new(Connections::default());
         tasks.spawn(serve(listener, service, connections, cancel.clone(), tasks.clone()));
         Ok(HttpServer { address, cancel, tasks })
     }
@@ -143,7 +236,10 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = cancel.cancelled() => return,
+            () = cancel.cancelled() => {
+                let _ = connections.set_listener(None);
+                return;
+            }
         };
         match accepted {
             Ok((socket, _)) => {
@@ -190,13 +286,14 @@
 ) {
     // Tokens are small writes that the caller waits for; Nagle's algorithm would delay them.
     let _ = socket.set_nodelay(true);
-    let (id, silent) = connections.add();
+    let (id, silent, reset) = connections.add(&socket);
     let io = TokioIo::new(SilenceableStream::new(socket, silent));
     let response = service_fn(|request| handler.handle_request(request, id));
     let connection = http1::Builder::new().serve_connection(io, response);
     tokio::select! {
         _ = connection => {}
         () = handler.cancel.cancelled() => {}
+        () = reset.cancelled() => {}
     }
     connections.remove(id);
 }
--- a/crates/fl-standins/src/lib.rs
+++ b/crates/fl-standins/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod http_server;
 pub mod http_util;
 pub mod object_store;
+pub mod packet_filter;
 pub mod plain_service;
 mod silenceable_stream;
 pub mod slow_body;
