Serve the callers of a node without links through its peers

Cause: a node had no way to a server but its own link, and did not know that it had lost it; each call found it out anew. Class: a single path whose loss is handled as the failure of each target behind it.

While its links are lost, a node sends each request through a peer, which listens over TCP at the address of its datagrams, sends it to the named server and returns the response. It never asks another peer. The node that the caller reached still decides admission, placement, retries and streams, so quotas, budgets and usage are counted once. What the peer did not send may be tried at a second peer; anything else may have run. Pauses and notices of a server are applied by both, since servers count what comes from the peer's address. Nodes without links say so in a datagram of their own. Open connections that live on are used; silent ones are closed. While no peer reaches the servers either, calls are refused at once.

--- a/crates/fl-forward/src/attempt.rs
+++ b/crates/fl-forward/src/attempt.rs
@@ -1,15 +1,19 @@
 //! One attempt to forward a call: chooses a server, sends the call and reads the response's head.
 
-use crate::connection_pool::{Connection, SendError};
+use crate::connection_pool::{Connection, SendError, send_on_pooled};
 use crate::forwarding::{Call, Progress, refuse_denied, refuse_expired, refuse_failed};
 use crate::links;
 use crate::node::Node;
+use crate::peer_proxy;
 use crate::servers::{ChosenServer, InFlightCall, NoServer, ServerRequest, note_response};
+use bytes::Bytes;
 use fl_kernel::forward::{Refusal, ResponseHead, SendOptions};
 use fl_protocol::forward::ServerEntry;
 use fl_routing::stream_origins::StreamOrigin;
-use http::Response;
+use http::{Request, Response};
+use http_body_util::Full;
 use hyper::body::Incoming;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -17,6 +21,31 @@
 /// A call with less time left than this is not sent.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(5);
 
+/// What a failed attempt says of whether the server crashed under the call.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ServerEnd {
+    /// Nothing; the server goes on.
+    #[default]
+    NoSign,
+    /// The connection broke after the call was sent, as it does when the server crashes.
+    Suspected,
+    /// The same behind a peer, which finds out.
+    LeftToPeer,
+    /// A peer found that the server crashed.
+    FoundByPeer,
+}
+
+impl ServerEnd {
+    /// Returns what a response says that broke off, or not, and came through a peer, or not.
+    pub fn after(broke_connection: bool, peer: Option<SocketAddr>) -> Self {
+        match (broke_connection, peer) {
+            (false, _) => ServerEnd::NoSign,
+            (true, None) => ServerEnd::Suspected,
+            (true, Some(_)) => ServerEnd::LeftToPeer,
+        }
+    }
+}
+
 /// How one attempt at one backend server failed.
 #[derive(Debug, Default)]
 pub struct AttemptFailure {
@@ -28,8 +57,8 @@
     pub reached_server: bool,
     /// Whether the call may have run at the server.
     pub may_have_run: bool,
-    /// Whether the connection broke after the call was sent, as it does when the server crashes.
-    pub broke_connection: bool,
+    /// What the failure says of the server's end.
+    pub server_end: ServerEnd,
     /// Whether another server uses the address now, so that the intended server received nothing.
     pub is_misdirected: bool,
 }
@@ -48,6 +77,8 @@
     pub in_flight: InFlightCall,
     /// When the call was sent.
     pub sent_at: Instant,
+    /// The peer that sent the call on; `None` if this node reached the server.
+    pub peer: Option<SocketAddr>,
 }
 
 /// Where a stream goes on; empty for a call that is for no rest of a stream.
@@ -80,6 +111,10 @@
     if time_left < TIME_LEFT_MIN {
         return Err(AttemptError::Refused(refuse_expired(progress)));
     }
+    if node.links.are_lost() && node.peers.proxy_candidates().is_empty() {
+        let refusal = refuse_failed(progress, "no node reaches the backend servers");
+        return Err(AttemptError::Refused(refusal));
+    }
     let is_urgent = call.admission.is_urgent;
     let chosen = node.servers.choose(&ServerRequest {
         service: &call.admission.service,
@@ -100,10 +135,19 @@
     let sending = send(node, call, &chosen, resumption.last_event_id);
     let sent = tokio::time::timeout_at(call.admission.deadline, sending).await;
     let failure = match sent {
-        Ok(Ok((connection, head, response))) => match head_failure(&head) {
+        Ok(Ok(sent)) => match head_failure(&sent.head) {
             None => {
                 progress.sends += 1;
-                return Ok(Attempt { chosen, connection, head, response, in_flight, sent_at });
+                let SentCall { connection, head, response, peer } = sent;
+                return Ok(Attempt {
+                    chosen,
+                    connection,
+                    head,
+                    response,
+                    in_flight,
+                    sent_at,
+                    peer,
+                });
             }
             Some(failure) => failure,
         },
@@ -137,74 +181,102 @@
         error,
         reached_server: true,
         may_have_run,
-        broke_connection: false,
+        server_end: ServerEnd::NoSign,
         is_misdirected,
     })
 }
 
 fn send_failure(error: &SendError) -> AttemptFailure {
-    let reached_server = matches!(error, SendError::ConnectionLost(_));
-    let reason = if reached_server { "the connection broke" } else { "the server was not reached" };
+    let (reason, server_end) = match error {
+        SendError::NotConnected(_) | SendError::NotSent(_) => {
+            ("the server was not reached", ServerEnd::NoSign)
+        }
+        SendError::ConnectionLost(_) => ("the connection broke", ServerEnd::Suspected),
+        SendError::PeerLost(_) => ("the connection through a peer broke", ServerEnd::LeftToPeer),
+        SendError::ServerCrashed => ("the connection broke", ServerEnd::FoundByPeer),
+    };
+    let reached_server = server_end != ServerEnd::NoSign;
     AttemptFailure {
         reason,
         error: error.to_string(),
         reached_server,
         may_have_run: reached_server,
-        broke_connection: reached_server,
+        server_end,
         is_misdirected: false,
     }
 }
 
+/// A response whose head has arrived.
+struct SentCall {
+    connection: Connection,
+    head: ResponseHead,
+    response: Response<Incoming>,
+    /// The peer that sent the call on; `None` if this node reached the server.
+    peer: Option<SocketAddr>,
+}
+
 async fn send(
     node: &Node,
     call: &Call,
     chosen: &ChosenServer,
     last_event_id: Option<u64>,
-) -> Result<(Connection, ResponseHead, Response<Incoming>), SendError> {
-    let address = chosen.entry.address;
-    let pooled = node.connections.take(address);
-    let mut is_pooled = pooled.is_some();
-    let mut connection = match pooled {
-        Some(connection) => {
-            metrics::counter!("fl_connections_reused_total").increment(1);
-            connection
+) -> Result<SentCall, SendError> {
+    let build = || build_request(node, call, chosen, last_event_id);
+    let direct = send_directly(node, chosen, build).await;
+    let (mut connection, response, peer) = match direct {
+        Ok((connection, response)) => (connection, response, None),
+        Err(SendError::NotConnected(_)) if node.links.are_lost() => {
+            let sent = peer_proxy::send(node, &chosen.entry.name, call, build).await?;
+            (sent.connection, sent.response, Some(sent.peer))
         }
-        None => links::open(node, address).await?,
+        Err(error) => return Err(error),
     };
-    loop {
-        let options = SendOptions {
-            server: chosen.entry.name.clone(),
-            time_left: call.admission.deadline.saturating_duration_since(Instant::now()),
-            workspace: call.admission.workspace.clone(),
-            last_event_id,
-            engine_priority: call.head.model.as_ref().map(|_| call.admission.rank),
-        };
-        let request = node.platform.codec.build_request(
-            &call.parts,
-            &call.forwarded_headers,
-            call.body.clone(),
-            &options,
-        );
-        let request = request.map_err(|error| SendError::NotSent(error.to_string()))?;
-        node.links.record_sent();
-        match connection.send(request).await {
-            Ok(response) => {
-                node.links.record_received();
-                let (parts, body) = response.into_parts();
-                let head = node.platform.codec.parse_response(&call.head.id, &parts);
-                connection.set_keep_alive(head.keep_alive);
-                if head.matches_call && !head.is_misdirected {
-                    note_response(node, &chosen.entry.name, &head.notices);
-                }
-                return Ok((connection, head, Response::from_parts(parts, body)));
-            }
-            // A pooled connection that closed before a byte was written says nothing about the
-            // server.
-            Err(SendError::NotSent(_)) if is_pooled => {
-                is_pooled = false;
-                connection = links::open(node, address).await?;
-            }
-            Err(error) => return Err(error),
-        }
+    let (parts, body) = response.into_parts();
+    let head = node.platform.codec.parse_response(&call.head.id, &parts);
+    if peer.is_none() {
+        connection.set_keep_alive(head.keep_alive);
     }
+    if head.matches_call && !head.is_misdirected {
+        note_response(node, &chosen.entry.name, &head.notices);
+    }
+    Ok(SentCall { connection, head, response: Response::from_parts(parts, body), peer })
+}
+
+/// Sends on this node's own connection to the server. While the links are lost, only a connection
+/// that lives on is used, and none is opened.
+async fn send_directly(
+    node: &Node,
+    chosen: &ChosenServer,
+    build: impl Fn() -> Result<Request<Full<Bytes>>, SendError>,
+) -> Result<(Connection, Response<Incoming>), SendError> {
+    let address = chosen.entry.address;
+    node.links.record_sent();
+    let open = async {
+        match node.links.are_lost() {
+            true => Err(SendError::NotConnected("the links to the servers are lost".to_string())),
+            false => links::open(node, address).await,
+        }
+    };
+    let sent = send_on_pooled(&node.connections, address, open, build).await?;
+    node.links.record_received();
+    Ok(sent)
+}
+
+fn build_request(
+    node: &Node,
+    call: &Call,
+    chosen: &ChosenServer,
+    last_event_id: Option<u64>,
+) -> Result<Request<Full<Bytes>>, SendError> {
+    let options = SendOptions {
+        server: chosen.entry.name.clone(),
+        time_left: call.admission.deadline.saturating_duration_since(Instant::now()),
+        workspace: call.admission.workspace.clone(),
+        last_event_id,
+        engine_priority: call.head.model.as_ref().map(|_| call.admission.rank),
+    };
+    let body = call.body.clone();
+    let codec = &node.platform.codec;
+    let request = codec.build_request(&call.parts, &call.forwarded_headers, body, &options);
+    request.map_err(|error| SendError::NotSent(error.to_string()))
 }
--- a/crates/fl-forward/src/backend_response.rs
+++ b/crates/fl-forward/src/backend_response.rs
@@ -4,7 +4,7 @@
 
 pub use relay::{EventRelay, RelayStep};
 
-use crate::attempt::{Attempt, AttemptFailure};
+use crate::attempt::{Attempt, AttemptFailure, ServerEnd};
 use crate::crash_suspects;
 use crate::forwarding::{Call, Progress};
 use crate::log::event::StreamTakenUp;
@@ -18,6 +18,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use relay::EventSource;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -34,6 +35,8 @@
     pub body: BackendResponseBody,
     /// The server that sent it.
     pub server: String,
+    /// The peer through which it came; `None` if this node reached the server.
+    pub peer: Option<SocketAddr>,
     /// The wait in milliseconds that was predicted at placement.
     pub predicted_ms: f64,
     /// Estimate of the calls in flight at the server when it was chosen.
@@ -71,8 +74,9 @@
         Ok(Ok(bytes)) => bytes,
         Ok(Err(error)) => {
             let broke_connection = matches!(error, BodyError::Broken(_));
+            let server_end = ServerEnd::after(broke_connection, attempt.peer);
             let failure = failure("the answer broke off", error.to_string());
-            return ResponseOutcome::Failed(AttemptFailure { broke_connection, ..failure });
+            return ResponseOutcome::Failed(AttemptFailure { server_end, ..failure });
         }
         Err(_) => return fail("the answer was not whole in time", String::new()),
     };
@@ -90,6 +94,7 @@
         headers: node.platform.codec.response_headers(&parts.headers),
         body: BackendResponseBody::Full(bytes),
         server: attempt.chosen.entry.name,
+        peer: attempt.peer,
         predicted_ms: attempt.chosen.placement.wait_ms,
         in_flight: attempt.chosen.in_flight,
     }))
@@ -139,7 +144,7 @@
         Ok(Ok(first_event)) => first_event,
         Ok(Err(error)) => {
             let reason = "the stream broke off before its first event";
-            return ResponseOutcome::Failed(error.into_failure(reason));
+            return ResponseOutcome::Failed(error.into_failure(reason, source.peer));
         }
         Err(_) => return fail("the stream did not begin in time", String::new()),
     };
@@ -150,7 +155,7 @@
     if first_event.is_some() && call.admission.route.is_resumable_stream() {
         stream_origins::announce(node, &call.head, origin);
     }
-    let server = source.server.name.clone();
+    let (server, peer) = (source.server.name.clone(), source.peer);
     let relay = EventRelay {
         node: node.clone(),
         call: call.clone(),
@@ -169,6 +174,7 @@
         headers,
         body: BackendResponseBody::Events(Box::new(relay)),
         server,
+        peer,
         predicted_ms: placement.wait_ms,
         in_flight,
     }))
--- a/crates/fl-forward/src/backend_response/relay.rs
+++ b/crates/fl-forward/src/backend_response/relay.rs
@@ -1,7 +1,7 @@
 //! Relays the events of a stream to a caller; resumes it at another server if the route allows
 //! that.
 
-use crate::attempt::{self, Attempt, AttemptError, AttemptFailure, Resumption};
+use crate::attempt::{self, Attempt, AttemptError, AttemptFailure, Resumption, ServerEnd};
 use crate::connection_pool::Connection;
 use crate::crash_suspects;
 use crate::forwarding::{self, Call, Progress};
@@ -15,6 +15,7 @@
 use http::header;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -37,6 +38,8 @@
 pub(super) struct EventSource {
     node: Arc<Node>,
     pub(super) server: ServerEntry,
+    /// The peer through which they come; `None` if this node reached the server.
+    pub(super) peer: Option<SocketAddr>,
     /// When the call was sent to the server.
     sent_at: Instant,
     body: Incoming,
@@ -75,16 +78,21 @@
 
 impl StreamError {
     /// Returns the failure of the attempt whose stream it ended.
-    pub(super) fn into_failure(self, reason: &'static str) -> AttemptFailure {
+    ///
+    /// `peer` is the one through which it came, if it did.
+    pub(super) fn into_failure(
+        self,
+        reason: &'static str,
+        peer: Option<SocketAddr>,
+    ) -> AttemptFailure {
+        let broke_connection =
+            matches!(self, StreamError::Broken(_) | StreamError::CutOff | StreamError::Empty);
         AttemptFailure {
             reason,
             error: self.to_string(),
             reached_server: true,
             may_have_run: true,
-            broke_connection: matches!(
-                self,
-                StreamError::Broken(_) | StreamError::CutOff | StreamError::Empty
-            ),
+            server_end: ServerEnd::after(broke_connection, peer),
             is_misdirected: false,
         }
     }
@@ -99,6 +107,7 @@
         EventSource {
             node: node.clone(),
             server: attempt.chosen.entry,
+            peer: attempt.peer,
             sent_at: attempt.sent_at,
             body,
             ends_with_connection: !is_framed,
@@ -169,6 +178,11 @@
         &self.source.server.name
     }
 
+    /// Returns the peer through which the stream comes; `None` if this node reached the server.
+    pub fn peer(&self) -> Option<SocketAddr> {
+        self.source.peer
+    }
+
     /// Returns the number of servers that the call was sent to.
     pub fn sends(&self) -> u32 {
         self.progress.sends
@@ -200,7 +214,7 @@
 
     /// Resumes the stream at another server; returns false if it may not be resumed.
     async fn resume(&mut self, error: StreamError) -> bool {
-        let mut failure = error.into_failure("the stream broke off");
+        let mut failure = error.into_failure("the stream broke off", self.source.peer);
         loop {
             let server = self.source.server.clone();
             let sent_at = self.source.sent_at;
@@ -209,8 +223,8 @@
             if !self.progress.excluded_servers.contains(&server.name) {
                 self.progress.excluded_servers.push(server.name);
             }
-            let may_crash_more =
-                failure.broke_connection && self.node.crash_suspects.is_suspect(&self.call);
+            let may_crash_more = failure.server_end != ServerEnd::NoSign
+                && self.node.crash_suspects.is_suspect(&self.call);
             let may_resume = self.call.admission.route.is_retryable()
                 && self.last_event_id.is_some()
                 && !may_crash_more
--- a/crates/fl-forward/src/connection_pool.rs
+++ b/crates/fl-forward/src/connection_pool.rs
@@ -47,10 +47,15 @@
     NotSent(String),
     /// the connection broke after the call was sent: {0}; it may have run
     ConnectionLost(String),
+    /// the peer that sent the call on, or its connection, was lost: {0}; it may have run
+    PeerLost(String),
+    /// the server crashed, as the peer that sent the call on found out; it may have run
+    ServerCrashed,
 }
 
-/// An open HTTP/1 connection to a backend server.
+/// An open HTTP/1 connection to a backend server, or to a peer that sends calls on.
 pub struct Connection {
+    leads_to_peer: bool,
     sender: SendRequest<Full<Bytes>>,
     head_limit: HeadLimit,
     io: AbortHandle,
@@ -86,6 +91,7 @@
             let _ = connection.await;
         });
         Ok(Connection {
+            leads_to_peer: false,
             sender,
             head_limit,
             io: io.abort_handle(),
@@ -95,6 +101,18 @@
         })
     }
 
+    /// Opens a connection to a peer that sends calls on.
+    pub async fn open_to_peer(source: IpAddr, peer: SocketAddr) -> Result<Self, SendError> {
+        let mut connection = Connection::open(source, peer).await?;
+        connection.leads_to_peer = true;
+        Ok(connection)
+    }
+
+    /// Returns whether it leads to a peer that sends calls on.
+    pub fn leads_to_peer(&self) -> bool {
+        self.leads_to_peer
+    }
+
     /// Sends a call and returns its response as soon as the head has arrived.
     pub async fn send(
         &mut self,
@@ -208,3 +226,28 @@
         idle.retain(|(address, connections)| in_use(*address) && !connections.is_empty());
     }
 }
+
+/// Sends a request on a pooled connection, or on a new one, which `open` opens. A pooled connection
+/// that closed before a byte was written says nothing about the server, so a new one follows.
+///
+/// # Errors
+///
+/// Returns how opening or sending failed, or the error of `build`, which creates the request.
+pub async fn send_on_pooled(
+    pool: &ConnectionPool,
+    address: SocketAddr,
+    open: impl Future<Output = Result<Connection, SendError>>,
+    build: impl Fn() -> Result<Request<Full<Bytes>>, SendError>,
+) -> Result<(Connection, Response<Incoming>), SendError> {
+    if let Some(mut pooled) = pool.take(address) {
+        metrics::counter!("fl_connections_reused_total").increment(1);
+        match pooled.send(build()?).await {
+            Err(SendError::NotSent(_)) => {}
+            Err(error) => return Err(error),
+            Ok(response) => return Ok((pooled, response)),
+        }
+    }
+    let mut opened = open.await?;
+    let response = opened.send(build()?).await?;
+    Ok((opened, response))
+}
--- a/crates/fl-forward/src/crash_suspects.rs
+++ b/crates/fl-forward/src/crash_suspects.rs
@@ -15,7 +15,7 @@
 use fl_kernel::clock::unix_ms;
 use fl_kernel::forward::Refusal;
 use fl_protocol::forward::{ModelCall, ServerEntry};
-use fl_protocol::{Fingerprint, hash64};
+use fl_protocol::{Fingerprint, UnixMs, hash64};
 use fl_routing::crash_suspects::{
     Crash, CrashSuspects, InstanceHash, QuarantineChange, RETENTION, Suspect, SuspectKey,
 };
@@ -106,26 +106,42 @@
     announce(node, &changes, "answer");
 }
 
+/// A call whose connection to a server broke.
+#[derive(Debug, Clone, Copy)]
+pub struct BrokenCall<'a> {
+    /// Id of the caller's attempt.
+    pub call_id: &'a str,
+    /// What it may have in common with other calls.
+    pub suspect_keys: &'a [SuspectKey],
+    /// When it was sent to the server.
+    pub sent_at: Instant,
+}
+
 /// Finds out whether a server crashed under a call whose connection to it broke, and suspects what
-/// the call held.
+/// the call held. Returns whether the server crashed.
 ///
 /// A server that still accepts connections, or that was to leave, did not crash.
 pub async fn note_broken_connection(
     node: &Arc<Node>,
-    call: &Call,
+    broken: BrokenCall<'_>,
     server: &ServerEntry,
-    sent_at: Instant,
-) {
+) -> bool {
     let crashed_ms = unix_ms();
-    let call_time_ms = sent_at.elapsed().as_millis() as u64;
     if !node.servers.is_usable_instance(server) || accepts_connections(node, server).await {
-        return;
+        return false;
     }
+    record_crash(node, broken, server, crashed_ms);
+    true
+}
+
+/// Suspects what a call held under which a server crashed.
+pub fn record_crash(node: &Node, broken: BrokenCall<'_>, server: &ServerEntry, crashed_ms: UnixMs) {
+    let call_time_ms = broken.sent_at.elapsed().as_millis() as u64;
     metrics::counter!("fl_server_crashes_total").increment(1);
-    node.log.write(&ServerCrashed { server: &server.name, request_id: &call.head.id });
+    node.log.write(&ServerCrashed { server: &server.name, request_id: broken.call_id });
     let sent_ms = crashed_ms.saturating_sub(call_time_ms);
     let crash = Crash { instance: instance_hash(server), sent_ms, crashed_ms };
-    let keys = &call.suspect_keys;
+    let keys = broken.suspect_keys;
     let changes = node.crash_suspects.suspects.lock().record_crash(keys, crash, boot_time());
     announce(node, &changes, "crash");
     node.peers.request_urgent_report();
--- a/crates/fl-forward/src/forwarding.rs
+++ b/crates/fl-forward/src/forwarding.rs
@@ -4,13 +4,14 @@
 //! A call that may have run is sent again only if its route allows that.
 
 use crate::admission::Admission;
-use crate::attempt::{AttemptError, AttemptFailure, Resumption, send_attempt};
+use crate::attempt::{AttemptError, AttemptFailure, Resumption, ServerEnd, send_attempt};
 use crate::backend_response::{BackendResponse, ResponseOutcome, open_stream, read_full_response};
 use crate::clock::boot_time;
-use crate::crash_suspects;
+use crate::crash_suspects::{self, BrokenCall};
 use crate::log::event::AttemptFailed;
 use crate::node::Node;
 use bytes::Bytes;
+use fl_kernel::clock::unix_ms;
 use fl_kernel::forward::Refusal;
 use fl_limits::SlidingRetryBudget;
 use fl_protocol::Fingerprint;
@@ -139,7 +140,8 @@
         return Err(refuse_failed(progress, "no backend server could be reached"));
     }
     let may_run_again = !failure.may_have_run || call.admission.route.is_retryable();
-    let may_crash_more = failure.broke_connection && node.crash_suspects.is_suspect(call);
+    let may_crash_more =
+        failure.server_end != ServerEnd::NoSign && node.crash_suspects.is_suspect(call);
     if !may_crash_more && may_run_again && try_take_retry(node, call, progress) {
         return Ok(());
     }
@@ -185,8 +187,14 @@
         prompt_parts: &logged_parts(call),
         after_ms: sent_at.elapsed().as_millis() as u64,
     });
-    if failure.broke_connection {
-        crash_suspects::note_broken_connection(node, call, server, sent_at).await;
+    let suspect_keys = &call.suspect_keys;
+    let broken = BrokenCall { call_id: &call.head.id, suspect_keys, sent_at };
+    match failure.server_end {
+        ServerEnd::Suspected => {
+            crash_suspects::note_broken_connection(node, broken, server).await;
+        }
+        ServerEnd::FoundByPeer => crash_suspects::record_crash(node, broken, server, unix_ms()),
+        ServerEnd::NoSign | ServerEnd::LeftToPeer => {}
     }
 }
 
--- a/crates/fl-forward/src/http_server/response.rs
+++ b/crates/fl-forward/src/http_server/response.rs
@@ -14,6 +14,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt as _, Full, StreamBody};
 use hyper::body::Frame;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -89,11 +90,13 @@
         answered_guard: AnsweredGuard,
     ) -> Response<ResponseBody> {
         let first_ms = millis(self.received_at);
-        let BackendResponse { status, headers, body, server, predicted_ms, in_flight } = backend;
+        let BackendResponse { status, headers, body, server, peer, predicted_ms, in_flight } =
+            backend;
         let end_logger = EndLogger {
             record: self,
             status,
             server,
+            peer,
             sends: progress.sends,
             first_ms,
             predicted_ms,
@@ -134,6 +137,7 @@
     record: CallRecord,
     status: StatusCode,
     server: String,
+    peer: Option<SocketAddr>,
     sends: u32,
     first_ms: u64,
     predicted_ms: f64,
@@ -158,6 +162,7 @@
             route: record.route(),
             workspace: record.workspace(),
             server: &self.server,
+            peer: self.peer.map(|peer| peer.ip()),
             status: self.status.as_u16(),
             outcome: self.outcome,
             sends: self.sends,
@@ -184,6 +189,7 @@
         let (mut relay, mut end_logger) = state?;
         let step = relay.next_step().await;
         end_logger.server = relay.server().to_string();
+        end_logger.peer = relay.peer();
         end_logger.sends = relay.sends();
         match step {
             RelayStep::Event(bytes) => Some((Ok(Frame::data(bytes)), Some((relay, end_logger)))),
--- a/crates/fl-forward/src/lib.rs
+++ b/crates/fl-forward/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod log;
 pub mod metrics_endpoint;
 pub mod node;
+pub mod peer_proxy;
 pub mod peers;
 pub mod retry_budget;
 pub mod route_table;
--- a/crates/fl-forward/src/lifecycle.rs
+++ b/crates/fl-forward/src/lifecycle.rs
@@ -4,8 +4,8 @@
 use crate::log::event::{NodeLeaving, NodeReady, NodeStarted, NodeStopped, SettingsReread};
 use crate::node::{Node, PlatformAdapters};
 use crate::{
-    crash_suspects, duties, http_server, links, metrics_endpoint, peers, route_table, servers,
-    shared_reads,
+    crash_suspects, duties, http_server, links, metrics_endpoint, peer_proxy, peers, route_table,
+    servers, shared_reads,
 };
 use bytes::Bytes;
 use fl_kernel::forward::ForwardSettings;
@@ -66,6 +66,7 @@
     let callers = listen(settings.caller_address)?;
     let readiness = listen(settings.readiness_address)?;
     let metrics_listener = listen(settings.metrics_address)?;
+    let proxy = listen(settings.peer_address)?;
     let socket = UdpSocket::bind(settings.peer_address).await;
     let socket = socket.map_err(|error| StartError::Listen(settings.peer_address, error))?;
     let node = Arc::new(Node::new(settings, platform, log));
@@ -75,6 +76,7 @@
     tokio::spawn(metrics_endpoint::serve(node.clone(), metrics_listener, metrics));
     tokio::spawn(serve_readiness(node.clone(), readiness));
     tokio::spawn(http_server::serve(node.clone(), callers));
+    tokio::spawn(peer_proxy::serve(node.clone(), proxy));
     tokio::spawn(log_when_ready(node.clone()));
     wait_for_termination(&node, &mut terminate, &mut reload, reread).await;
     drain_and_stop(&node).await;
--- a/crates/fl-forward/src/links.rs
+++ b/crates/fl-forward/src/links.rs
@@ -20,8 +20,8 @@
 
 /// How often the links are looked at.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Servers that are probed at a time.
-const PROBED_SERVERS: usize = 4;
+/// Servers that are probed after the first one did not accept a connection.
+const PROBED_SERVERS: usize = 8;
 
 /// The links of a node to the backend servers, shared by its tasks.
 #[derive(Default)]
@@ -37,11 +37,6 @@
         self.links.lock().is_lost()
     }
 
-    /// Returns whether a connection to a server was opened at or after a boot time.
-    pub fn connected_since(&self, time: Duration) -> bool {
-        self.links.lock().connected_since(time)
-    }
-
     /// Records that a call was sent to a server.
     pub fn record_sent(&self) {
         self.links.lock().record_sent(boot_time());
@@ -89,20 +84,33 @@
     }
 }
 
-/// Probes some servers at a time; none that accepts a connection means that the links are lost.
+/// Probes one server, then some others; none that accepts a connection means that the links are
+/// lost.
 async fn probe(node: &Arc<Node>) {
     let usable = node.servers.usable();
     let probed: Vec<ServerEntry> =
-        usable.sample(&mut rand::rng(), PROBED_SERVERS).cloned().collect();
-    if probed.is_empty() || reaches_any(node, &probed).await {
+        usable.sample(&mut rand::rng(), 1 + PROBED_SERVERS).cloned().collect();
+    let Some((first, others)) = probed.split_first() else { return };
+    if reaches_any(node, std::slice::from_ref(first)).await || reaches_any(node, others).await {
         return;
     }
-    let change = node.links.links.lock().record_unanswered_probes(boot_time());
+    let now = boot_time();
+    let (change, is_silent) = {
+        let mut links = node.links.links.lock();
+        (links.record_unanswered_probes(now), links.is_silent(now))
+    };
+    if is_silent {
+        // Idle connections hang as well. Those that live on are used for as long as they do.
+        node.connections.close_unused(|_| false);
+    }
+    if change.is_some() {
+        node.peers.request_urgent_report();
+    }
     announce(node, change);
 }
 
 /// Returns whether any of these servers accepts a connection, which is kept for the next call.
-pub async fn reaches_any(node: &Arc<Node>, servers: &[ServerEntry]) -> bool {
+async fn reaches_any(node: &Arc<Node>, servers: &[ServerEntry]) -> bool {
     let opening = servers.iter().map(|server| async move {
         let opened = open(node, server.address).await.ok();
         opened.map(|connection| (connection, server))
--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -5,8 +5,8 @@
 mod duty;
 
 pub use call::{
-    AttemptFailed, CallEnded, CallRefused, QuarantineChanged, QuotaShort, ServerCrashed,
-    StreamResumed, StreamTakenUp,
+    AttemptFailed, CallEnded, CallProxied, CallRefused, QuarantineChanged, QuotaShort,
+    ServerCrashed, StreamResumed, StreamTakenUp,
 };
 pub use duty::{DutyFailed, FleetOrdered, LeaseChanged, UsageReported};
 
@@ -57,6 +57,7 @@
     QuotaShort<'_> => "quota_short",
     AttemptFailed<'_> => "attempt_failed",
     CallEnded<'_> => "call_ended",
+    CallProxied<'_> => "call_proxied",
     StreamResumed<'_> => "stream_resumed",
     StreamTakenUp<'_> => "stream_taken_up",
     PeerChanged<'_> => "peer_changed",
--- a/crates/fl-forward/src/log/event/call.rs
+++ b/crates/fl-forward/src/log/event/call.rs
@@ -1,6 +1,7 @@
 //! Log events of single calls.
 
 use serde::Serialize;
+use std::net::IpAddr;
 
 /// This node refused a call, or could not get a response for it.
 #[derive(Debug, Serialize)]
@@ -100,6 +101,9 @@
     pub workspace: &'a str,
     /// The backend server whose response was relayed last.
     pub server: &'a str,
+    /// The peer that sent the call on; missing if this node reached the server.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub peer: Option<IpAddr>,
     /// The HTTP status for the caller.
     pub status: u16,
     /// Whether the response was whole, broke off, or its caller disconnected.
@@ -116,6 +120,21 @@
     pub in_flight: u32,
 }
 
+/// This node sent a call to a backend server for a peer that has lost its links.
+#[derive(Debug, Serialize)]
+pub struct CallProxied<'a> {
+    /// The id of the caller's attempt.
+    pub request_id: &'a str,
+    /// The backend server.
+    pub server: &'a str,
+    /// The peer that the caller reached.
+    pub peer: IpAddr,
+    /// `whole`, `broken off`, `the peer left`, or why there was no response.
+    pub outcome: &'a str,
+    /// Time since the peer's request was received.
+    pub held_ms: u64,
+}
+
 /// A caller took up a stream that an earlier attempt had begun.
 #[derive(Debug, Serialize)]
 pub struct StreamTakenUp<'a> {
--- a/crates/fl-forward/src/node.rs
+++ b/crates/fl-forward/src/node.rs
@@ -26,6 +26,9 @@
 /// keys. Covers the time a request takes to reach this node.
 const REVOCATION_MARGIN: Duration = Duration::from_millis(300);
 
+/// Most idle connections that a node keeps to one peer that sends calls on for it.
+const PEER_CONNECTIONS_MAX: usize = 32;
+
 /// Adapters through which a node reaches the platform.
 pub struct PlatformAdapters {
     /// Translates calls between the wire format and the types of this package.
@@ -50,6 +53,8 @@
     pub servers: Servers,
     /// Idle connections to backend servers.
     pub connections: ConnectionPool,
+    /// Idle connections to peers that send calls on for this node.
+    pub peer_connections: ConnectionPool,
     /// Whether it reaches any backend server.
     pub links: NodeLinks,
     /// What calls may have in common that crashes servers.
@@ -104,6 +109,7 @@
             route_table: ActiveRouteTable::default(),
             servers: Servers::default(),
             connections: ConnectionPool::default(),
+            peer_connections: ConnectionPool::default(),
             links: NodeLinks::default(),
             crash_suspects: NodeCrashSuspects::default(),
             stream_origins: NodeStreamOrigins::default(),
@@ -119,8 +125,12 @@
         }
     }
 
-    /// Returns a connection to the pool. Its last response must have ended cleanly.
+    /// Returns a connection to its pool. Its last response must have ended cleanly.
     pub async fn keep_connection(&self, connection: Connection, service: &str) {
+        if connection.leads_to_peer() {
+            self.peer_connections.put_back(connection, PEER_CONNECTIONS_MAX).await;
+            return;
+        }
         let table = self.route_table.current();
         let connections_max = table.service(service).map_or(0, |service| service.connections_max);
         self.connections
--- /dev/null
+++ b/crates/fl-forward/src/peer_proxy/server.rs
@@ -0,0 +1,267 @@
+//! The side of the peer: sends one request to a server and returns the response.
+
+use super::message::{ProxiedCall, ProxyFailure, mark_unframed};
+use crate::connection_pool::{Connection, SendError, send_on_pooled, set_socket_options};
+use crate::crash_suspects::{BrokenCall, note_broken_connection};
+use crate::links;
+use crate::log::event::CallProxied;
+use crate::node::{ActiveCallGuard, Node};
+use crate::servers::note_response;
+use bytes::Bytes;
+use fl_protocol::forward::ServerEntry;
+use futures::stream;
+use http::{HeaderMap, Request, Response, StatusCode, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt as _, Full, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+
+type ResponseBody = UnsyncBoxBody<Bytes, ResponseBroken>;
+
+/// the server's response broke off
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+struct ResponseBroken;
+
+/// A call of a peer's caller that this node sends to a server.
+struct Exchange {
+    node: Arc<Node>,
+    call: ProxiedCall,
+    server: ServerEntry,
+    peer: SocketAddr,
+    sent_at: Instant,
+    _active_call: ActiveCallGuard,
+}
+
+/// A response that is passed on to the peer.
+struct PassedResponse {
+    exchange: Exchange,
+    body: Incoming,
+    /// Taken when it is returned to the pool.
+    connection: Option<Connection>,
+    /// Whether the response answers the call, so that the connection may serve another one.
+    is_answer: bool,
+    outcome: &'static str,
+}
+
+/// Accepts the connections of peers until the node closes them to stop.
+pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+    while let Some(accepted) = node.closing.run_until_cancelled(listener.accept()).await {
+        if let Ok((stream, peer)) = accepted {
+            tokio::spawn(serve_connection(node.clone(), stream, peer));
+        }
+    }
+}
+
+async fn serve_connection(node: Arc<Node>, stream: TcpStream, peer: SocketAddr) {
+    // If setting the options fails, the connection is broken and ends at its first read.
+    let _ = set_socket_options(&stream);
+    let service_node = node.clone();
+    let service = service_fn(move |request| {
+        let node = service_node.clone();
+        async move { Ok::<_, Infallible>(handle_request(node, request, peer).await) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(None)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = &mut connection => return,
+        () = node.closing.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = node.cancel.run_until_cancelled(connection).await;
+}
+
+async fn handle_request(
+    node: Arc<Node>,
+    mut request: Request<Incoming>,
+    peer: SocketAddr,
+) -> Response<ResponseBody> {
+    let Some(call) = ProxiedCall::take(request.headers_mut()) else {
+        return empty_response(StatusCode::BAD_REQUEST);
+    };
+    let answered = match find_server(&node, &call.server) {
+        Err(failure) => Err(failure),
+        Ok(server) => {
+            let sent_at = Instant::now();
+            let _active_call = ActiveCallGuard::begin(&node);
+            let exchange =
+                Exchange { node: node.clone(), call, server, peer, sent_at, _active_call };
+            exchange.send(request).await
+        }
+    };
+    answered.unwrap_or_else(|failure| {
+        let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
+        failure.write(response.headers_mut());
+        response
+    })
+}
+
+/// Returns a server that this node may send a call to now.
+fn find_server(node: &Node, name: &str) -> Result<ServerEntry, ProxyFailure> {
+    if node.links.are_lost() {
+        return Err(ProxyFailure::NoLinks);
+    }
+    let usable = node.servers.usable();
+    let found = usable.into_iter().find(|entry| entry.name == name);
+    let server = found.ok_or(ProxyFailure::UnknownServer)?;
+    if !node.servers.accepts_proxied_call(&server) {
+        return Err(ProxyFailure::Denied);
+    }
+    Ok(server)
+}
+
+impl Exchange {
+    /// Sends the request to the server; returns its response, whose body follows.
+    async fn send(
+        self,
+        request: Request<Incoming>,
+    ) -> Result<Response<ResponseBody>, ProxyFailure> {
+        let sent = self.send_to_server(request).await;
+        let (connection, response) = match sent {
+            Ok(sent) => sent,
+            Err(failure) => {
+                self.log_end(failure.name());
+                return Err(failure);
+            }
+        };
+        let (mut parts, body) = response.into_parts();
+        let head = self.node.platform.codec.parse_response(&self.call.call_id, &parts);
+        let is_answer = head.matches_call && !head.is_misdirected;
+        if is_answer {
+            note_response(&self.node, &self.server.name, &head.notices);
+        }
+        let mut connection = connection;
+        connection.set_keep_alive(head.keep_alive);
+        prepare_headers(&mut parts.headers);
+        let passed = PassedResponse {
+            exchange: self,
+            body,
+            connection: Some(connection),
+            is_answer,
+            outcome: "the peer left",
+        };
+        Ok(Response::from_parts(parts, passed.into_body()))
+    }
+
+    async fn send_to_server(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<(Connection, Response<Incoming>), ProxyFailure> {
+        let (parts, body) = request.into_parts();
+        let bytes_max = self.node.route_table.current().limits.body_bytes;
+        let body = Limited::new(body, bytes_max).collect().await;
+        let body = body.map_err(|_| ProxyFailure::NotReached)?.to_bytes();
+        let build = || {
+            let mut request = Request::new(Full::new(body.clone()));
+            *request.method_mut() = parts.method.clone();
+            *request.uri_mut() = parts.uri.clone();
+            *request.headers_mut() = parts.headers.clone();
+            Ok(request)
+        };
+        let address = self.server.address;
+        let open = links::open(&self.node, address);
+        self.node.links.record_sent();
+        let sent = send_on_pooled(&self.node.connections, address, open, build).await;
+        match sent {
+            Ok(sent) => {
+                self.node.links.record_received();
+                Ok(sent)
+            }
+            Err(SendError::NotConnected(_) | SendError::NotSent(_)) => {
+                Err(ProxyFailure::NotReached)
+            }
+            Err(_) => Err(match self.note_broken_connection().await {
+                true => ProxyFailure::Crashed,
+                false => ProxyFailure::Lost,
+            }),
+        }
+    }
+
+    /// Finds out whether the server crashed under the call. Returns whether it did.
+    async fn note_broken_connection(&self) -> bool {
+        let broken = BrokenCall {
+            call_id: &self.call.call_id,
+            suspect_keys: &self.call.suspect_keys,
+            sent_at: self.sent_at,
+        };
+        note_broken_connection(&self.node, broken, &self.server).await
+    }
+
+    fn log_end(&self, outcome: &'static str) {
+        metrics::counter!("fl_calls_proxied_total", "outcome" => outcome).increment(1);
+        self.node.log.write(&CallProxied {
+            request_id: &self.call.call_id,
+            server: &self.server.name,
+            peer: self.peer.ip(),
+            outcome,
+            held_ms: self.sent_at.elapsed().as_millis() as u64,
+        });
+    }
+}
+
+impl PassedResponse {
+    fn into_body(self) -> ResponseBody {
+        let frames = stream::unfold(Some(self), |passed| async move {
+            let mut passed = passed?;
+            match passed.body.frame().await {
+                Some(Ok(frame)) => {
+                    passed.exchange.node.links.record_received();
+                    let data = frame.into_data().unwrap_or_default();
+                    Some((Ok(Frame::data(data)), Some(passed)))
+                }
+                Some(Err(_)) => {
+                    passed.outcome = "broken off";
+                    passed.connection = None;
+                    passed.exchange.note_broken_connection().await;
+                    Some((Err(ResponseBroken), None))
+                }
+                None => {
+                    passed.outcome = "whole";
+                    passed.keep_connection().await;
+                    None
+                }
+            }
+        });
+        StreamBody::new(frames).boxed_unsync()
+    }
+
+    async fn keep_connection(&mut self) {
+        if let Some(connection) = self.connection.take_if(|_| self.is_answer) {
+            let Exchange { node, server, .. } = &self.exchange;
+            node.keep_connection(connection, &server.service).await;
+        }
+    }
+}
+
+impl Drop for PassedResponse {
+    fn drop(&mut self) {
+        self.exchange.log_end(self.outcome);
+    }
+}
+
+/// Takes out what concerns only the connection to the server.
+fn prepare_headers(headers: &mut HeaderMap) {
+    let is_framed = headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING);
+    if !is_framed {
+        mark_unframed(headers);
+    }
+    for name in [header::CONNECTION, header::TRANSFER_ENCODING] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+}
+
+fn empty_response(status: StatusCode) -> Response<ResponseBody> {
+    let body = Full::new(Bytes::new()).map_err(|never: Infallible| match never {});
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = status;
+    response
+}
--- a/crates/fl-forward/src/peers.rs
+++ b/crates/fl-forward/src/peers.rs
@@ -100,6 +100,26 @@
         holders.unzip()
     }
 
+    /// Returns the peers that may send calls to servers for this node: they report, admit calls, and
+    /// have not said lately that their links are lost.
+    pub fn proxy_candidates(&self) -> Vec<SocketAddr> {
+        let now = boot_time();
+        let limit = self.silence_limit();
+        let state = self.state.lock();
+        let candidates = state.peers.iter().filter(|peer| {
+            !peer.is_silent && peer.report.admits && !peer.has_lost_links(now, limit)
+        });
+        candidates.map(|peer| peer.address).collect()
+    }
+
+    /// Records that a peer has lost its links to the servers.
+    pub fn note_links_lost(&self, from: SocketAddr) {
+        let mut state = self.state.lock();
+        if let Ok(index) = state.peers.binary_search_by_key(&from, |peer| peer.address) {
+            state.peers[index].links_lost_at = Some(boot_time());
+        }
+    }
+
     /// Returns the number of nodes that may admit calls, including this one.
     pub fn admitting_nodes(&self) -> usize {
         let now = boot_time();
@@ -179,6 +199,11 @@
         ReportRounds::interval(self.state.lock().peers.len())
     }
 
+    /// Returns how long a peer may be unheard until what it said no longer holds.
+    fn silence_limit(&self) -> Duration {
+        SILENCE_MIN.max(self.interval() * REPORTS_MISSED)
+    }
+
     /// Requests a report to the peers as soon as the interval of urgent reports allows.
     pub fn request_urgent_report(&self) {
         self.urgent_report.notify_one();
@@ -231,7 +256,7 @@
     /// newly silent ones.
     fn update_silent_peers(&self) -> Vec<(VmName, Duration)> {
         let now = boot_time();
-        let limit = SILENCE_MIN.max(self.interval() * REPORTS_MISSED);
+        let limit = self.silence_limit();
         let mut state = self.state.lock();
         state
             .peers
--- a/crates/fl-forward/src/peers/exchange.rs
+++ b/crates/fl-forward/src/peers/exchange.rs
@@ -46,6 +46,9 @@
     StreamBegan(StreamHash, StreamOrigin),
     /// A query for what began a stream. There is no reply if it is not known.
     OriginQuery(StreamHash),
+    /// The sending node reaches no backend server. Repeated with each report for as long as that
+    /// holds.
+    LinksLost,
 }
 
 impl Datagram {
@@ -114,6 +117,9 @@
         return;
     }
     send_to(socket, receivers, &Datagram::Report(Box::new(build_report(node))));
+    if node.links.are_lost() {
+        send_to(socket, receivers, &Datagram::LinksLost);
+    }
     let notices = node.servers.notices_to_report();
     if !notices.is_empty() {
         send_to(socket, receivers, &Datagram::Notices(notices));
@@ -163,6 +169,7 @@
             Ok(Datagram::CrashSuspects(suspects)) => {
                 crash_suspects::merge(&node, &suspects, "peer")
             }
+            Ok(Datagram::LinksLost) => node.peers.note_links_lost(from),
             Ok(Datagram::Notices(notices)) => apply_reported_notices(&node, &notices),
             Err(_) => metrics::counter!("fl_peer_reports_unreadable_total").increment(1),
         }
--- a/crates/fl-forward/src/peers/peer.rs
+++ b/crates/fl-forward/src/peers/peer.rs
@@ -18,6 +18,8 @@
     pub(super) address_hash: u64,
     pub(super) reported_at: Option<Duration>,
     pub(super) is_silent: bool,
+    /// When it last said that its links to the servers are lost.
+    pub(super) links_lost_at: Option<Duration>,
     pub(super) report: PeerReport,
     /// Usage counts of earlier process instances that may not have been reported yet.
     pub(super) earlier_usage: Vec<Vec<WindowCounts>>,
@@ -30,6 +32,7 @@
             address_hash: name_hash(&address.to_string()),
             reported_at: None,
             is_silent: true,
+            links_lost_at: None,
             report: PeerReport::default(),
             earlier_usage: Vec::new(),
         }
@@ -47,6 +50,11 @@
         self.reported_at.map_or(Duration::ZERO, |reported_at| now.saturating_sub(reported_at))
     }
 
+    /// Returns whether it said within a time that its links to the servers are lost.
+    pub(super) fn has_lost_links(&self, now: Duration, within: Duration) -> bool {
+        self.links_lost_at.is_some_and(|at| now.saturating_sub(at) < within)
+    }
+
     pub(super) fn may_admit(&self, now: Duration) -> bool {
         self.reported_at.is_some() && self.report.admits && self.silence(now) < SILENT_ADMITTING_MAX
     }
--- a/crates/fl-forward/src/servers/notices.rs
+++ b/crates/fl-forward/src/servers/notices.rs
@@ -108,6 +108,14 @@
         state.known.iter().filter_map(|known| known.notices_to_report(now)).collect()
     }
 
+    /// Returns whether a server may be sent a call that another node decided on: it did not ask this
+    /// node for a pause. The other node counts the call against limits.
+    pub fn accepts_proxied_call(&self, server: &ServerEntry) -> bool {
+        let now = boot_time();
+        let denied = self.state.lock().check_notices(server, now);
+        !matches!(denied, Err(SendDenial::Paused(_) | SendDenial::Leaving))
+    }
+
     /// Returns the number of servers with a limit in force.
     pub fn limited(&self) -> usize {
         let now = boot_time();
--- a/crates/fl-routing/src/backend_links.rs
+++ b/crates/fl-routing/src/backend_links.rs
@@ -35,8 +35,6 @@
 pub struct BackendLinks {
     /// Servers that could not be reached since one was, sorted.
     failed: Vec<SocketAddr>,
-    /// When a connection was last opened.
-    connected_at: Option<Duration>,
     /// When the first call was sent since something last arrived from any server.
     waiting_since: Option<Duration>,
     probed_at: Option<Duration>,
@@ -47,7 +45,6 @@
     /// Records that a connection to a server was opened.
     pub fn record_connected(&mut self, now: Duration) -> Option<LinkChange> {
         self.failed.clear();
-        self.connected_at = Some(now);
         self.waiting_since = None;
         let lost_at = self.lost_at.take()?;
         Some(LinkChange::Regained { lost_for: now.saturating_sub(lost_at) })
@@ -96,14 +93,12 @@
         self.lost_at.is_some()
     }
 
-    /// Returns whether a connection was opened at or after a time.
-    pub fn connected_since(&self, time: Duration) -> bool {
-        self.connected_at.is_some_and(|at| at >= time)
+    /// Returns whether a call has waited for long and nothing arrived from any server meanwhile.
+    pub fn is_silent(&self, now: Duration) -> bool {
+        self.waiting_since.is_some_and(|since| now.saturating_sub(since) >= SILENCE_MAX)
     }
 
     fn is_suspected(&self, now: Duration) -> bool {
-        let is_silent =
-            self.waiting_since.is_some_and(|since| now.saturating_sub(since) >= SILENCE_MAX);
-        is_silent || self.failed.len() >= FAILED_SERVERS_MIN
+        self.is_silent(now) || self.failed.len() >= FAILED_SERVERS_MIN
     }
 }
