Ask peers before a server counts as crashed

Cause: a node took a connection that broke, and a server that accepted no other, for the crash of that server; a lost link looks the same. Class: evidence about another that rests on one's own link, cut_off_node_accuses_no_call plays links that are lost one after the other: a check of other servers by the same node would not have told, so peers are asked.

A server counts as crashed if neither this node nor any of three peers can connect to it. Calls that one server broke off share the question (before, each opened a connection of its own).

--- a/crates/fl-forward/src/crash_suspects.rs
+++ b/crates/fl-forward/src/crash_suspects.rs
@@ -3,6 +3,7 @@
 //! [`fl_routing::crash_suspects`] decides what is quarantined; this module tells it what happened
 //! to this node's calls, and refuses calls. See `docs/design/045-crashing-requests.md`.
 
+mod end_checks;
 mod stored;
 
 pub use stored::keep_stored;
@@ -12,6 +13,8 @@
 use crate::links;
 use crate::log::event::{QuarantineChanged, ServerCrashed};
 use crate::node::Node;
+use crate::peer_proxy;
+use end_checks::EndChecks;
 use fl_kernel::clock::unix_ms;
 use fl_kernel::forward::Refusal;
 use fl_protocol::forward::{ModelCall, ServerEntry};
@@ -39,6 +42,7 @@
 /// The crash suspects of a node, shared by its tasks.
 pub struct NodeCrashSuspects {
     suspects: Mutex<CrashSuspects>,
+    checks: Mutex<EndChecks>,
     quarantine_changed: Notify,
 }
 
@@ -46,6 +50,7 @@
     fn default() -> Self {
         NodeCrashSuspects {
             suspects: Mutex::new(CrashSuspects::new(SUSPECTS_MAX)),
+            checks: Mutex::default(),
             quarantine_changed: Notify::new(),
         }
     }
@@ -120,14 +125,15 @@
 /// Finds out whether a server crashed under a call whose connection to it broke, and suspects what
 /// the call held. Returns whether the server crashed.
 ///
-/// A server that still accepts connections, or that was to leave, did not crash.
+/// A server that still accepts connections, of this node or of a peer, or that was to leave, did
+/// not crash: this node may have lost its links to it.
 pub async fn note_broken_connection(
     node: &Arc<Node>,
     broken: BrokenCall<'_>,
     server: &ServerEntry,
 ) -> bool {
     let crashed_ms = unix_ms();
-    if !node.servers.is_usable_instance(server) || accepts_connections(node, server).await {
+    if !node.servers.is_usable_instance(server) || !has_ended(node, server).await {
         return false;
     }
     record_crash(node, broken, server, crashed_ms);
@@ -147,6 +153,17 @@
     node.peers.request_urgent_report();
 }
 
+/// Returns whether an instance of a server accepts no connections of this node and its peers. Calls
+/// that it broke off at the same time share one check.
+async fn has_ended(node: &Arc<Node>, server: &ServerEntry) -> bool {
+    let check = node.crash_suspects.checks.lock().for_instance(instance_hash(server));
+    let ended = check.get_or_init(|| async {
+        !accepts_connections(node, server).await
+            && !peer_proxy::reaches_server(node, &server.name).await
+    });
+    *ended.await
+}
+
 /// Merges what a peer or the store knows.
 pub fn merge(node: &Node, suspects: &[Suspect], source: &str) {
     let changes = node.crash_suspects.suspects.lock().merge(suspects, boot_time());
@@ -170,7 +187,7 @@
 }
 
 /// Returns whether a server accepts a connection, which is kept for the next call.
-async fn accepts_connections(node: &Arc<Node>, server: &ServerEntry) -> bool {
+pub async fn accepts_connections(node: &Arc<Node>, server: &ServerEntry) -> bool {
     let opening = tokio::time::timeout(ACCEPT_TIMEOUT, links::open(node, server.address)).await;
     let Ok(Ok(connection)) = opening else { return false };
     node.keep_connection(connection, &server.service).await;
--- a/crates/fl-forward/src/peer_proxy/client.rs
+++ b/crates/fl-forward/src/peer_proxy/client.rs
@@ -1,17 +1,23 @@
 //! The side of the node that has lost its links: sends a call through a peer.
 
-use super::message::{ProxiedCall, ProxyFailure, restore_headers};
+use super::message::{PROBE_PATH, ProxiedCall, ProxyFailure, restore_headers};
 use crate::connection_pool::{Connection, SendError, send_on_pooled};
 use crate::node::Node;
 use bytes::Bytes;
+use futures::stream::{FuturesUnordered, StreamExt as _};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use rand::seq::IndexedRandom as _;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Peers that are tried for one attempt. Another one is tried only if nothing was sent.
 const PEERS_TRIED: usize = 2;
+/// Peers that are asked whether they reach a server.
+const PEERS_ASKED: usize = 3;
+/// How long peers may take to say whether they reach a server.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Refusal text while no peer can be asked.
 const NO_PEER: &str = "no peer reaches the servers";
 
@@ -92,6 +98,45 @@
     })
 }
 
+/// Returns whether any of some peers reaches a server; false also if there is no peer to ask.
+pub async fn reaches_server(node: &Node, server: &str) -> bool {
+    let asked = some_peers(node, PEERS_ASKED);
+    let mut asking: FuturesUnordered<_> =
+        asked.into_iter().map(|peer| peer_reaches_server(node, peer, server)).collect();
+    let any = async {
+        while let Some(reaches) = asking.next().await {
+            if reaches {
+                return true;
+            }
+        }
+        false
+    };
+    tokio::time::timeout(PROBE_TIMEOUT, any).await.unwrap_or(false)
+}
+
+async fn peer_reaches_server(node: &Node, peer: SocketAddr, server: &str) -> bool {
+    let probe = ProxiedCall {
+        server: server.to_string(),
+        call_id: String::new(),
+        suspect_keys: Vec::new(),
+    };
+    let build = || {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = http::Uri::from_static(PROBE_PATH);
+        let written = probe.write(request.headers_mut());
+        written.map_err(|error| SendError::NotSent(error.to_string()))?;
+        Ok(request)
+    };
+    match send_through(node, peer, build).await {
+        Ok(reached) => {
+            drop(reached.response);
+            node.keep_connection(reached.connection, "").await;
+            true
+        }
+        Err(_) => false,
+    }
+}
+
 /// Returns some of the peers that may reach the servers, at random.
 fn some_peers(node: &Node, count: usize) -> Vec<SocketAddr> {
     node.peers.proxy_candidates().sample(&mut rand::rng(), count).copied().collect()
--- a/crates/fl-forward/src/peer_proxy/message.rs
+++ b/crates/fl-forward/src/peer_proxy/message.rs
@@ -3,6 +3,9 @@
 use fl_routing::crash_suspects::SuspectKey;
 use http::{HeaderMap, HeaderName, HeaderValue, header};
 
+/// Path of a request that asks whether the peer reaches a server.
+pub(super) const PROBE_PATH: &str = "/fl-proxy/probe";
+
 /// Name of the server that a call is for.
 const SERVER: HeaderName = HeaderName::from_static("fl-proxy-server");
 /// Id of the call, as in its own header on the platform.
--- a/crates/fl-forward/src/peer_proxy/server.rs
+++ b/crates/fl-forward/src/peer_proxy/server.rs
@@ -1,8 +1,8 @@
 //! The side of the peer: sends one request to a server and returns the response.
 
-use super::message::{ProxiedCall, ProxyFailure, mark_unframed};
+use super::message::{PROBE_PATH, ProxiedCall, ProxyFailure, mark_unframed};
 use crate::connection_pool::{Connection, SendError, send_on_pooled, set_socket_options};
-use crate::crash_suspects::{BrokenCall, note_broken_connection};
+use crate::crash_suspects::{BrokenCall, accepts_connections, note_broken_connection};
 use crate::links;
 use crate::log::event::CallProxied;
 use crate::node::{ActiveCallGuard, Node};
@@ -88,6 +88,7 @@
     };
     let answered = match find_server(&node, &call.server) {
         Err(failure) => Err(failure),
+        Ok(server) if request.uri().path() == PROBE_PATH => probe(&node, &server).await,
         Ok(server) => {
             let sent_at = Instant::now();
             let _active_call = ActiveCallGuard::begin(&node);
@@ -117,6 +118,16 @@
     Ok(server)
 }
 
+async fn probe(
+    node: &Arc<Node>,
+    server: &ServerEntry,
+) -> Result<Response<ResponseBody>, ProxyFailure> {
+    match accepts_connections(node, server).await {
+        true => Ok(empty_response(StatusCode::OK)),
+        false => Err(ProxyFailure::NotReached),
+    }
+}
+
 impl Exchange {
     /// Sends the request to the server; returns its response, whose body follows.
     async fn send(
