Wait for a server that is silent for a moment

Calls that were sent to a server which then acknowledged nothing for 1.8 s got 502, though the server went on and answered them; bookings may have run.

Cause: the kernel closed the connection 1.5 s after the first byte that was not acknowledged, and a TCP_USER_TIMEOUT that is set also decides when keep-alive probes give up: one probe that fell into the silence ended a connection on which a long call waited. Class: a bound for peers that are gone, below what sound ones may take. The same function sets the connections of callers and peers; no other place of the tree sets these options.

--- a/crates/fl-forward/src/connection_pool.rs
+++ b/crates/fl-forward/src/connection_pool.rs
@@ -24,10 +24,16 @@
 
 /// Timeout for opening a connection. A live server accepts within milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long sent bytes may stay unacknowledged before the kernel closes the connection.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Interval of the TCP keep-alive probes on an idle connection.
-const TCP_KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1000);
+/// How long sent bytes may stay unacknowledged before the kernel closes the connection. A sound
+/// server may be silent for a second or two, and the kernel repeats bytes at growing intervals. It
+/// also decides when keep-alive probes give up, whatever their number.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3500);
+/// How long a connection is idle until the first TCP keep-alive probe is sent.
+const TCP_KEEPALIVE_TIME: Duration = Duration::from_secs(1);
+/// Interval of the probes that follow. The kernel takes whole seconds.
+const TCP_KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Unanswered probes after which the kernel closes the connection.
+const TCP_KEEPALIVE_PROBES: u32 = 3;
 /// Idle limit of connections to a server that states no keep-alive timeout.
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// Share of the stated keep-alive timeout that is used. The server starts to count it earlier than
@@ -169,9 +175,11 @@
 pub fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    let probes =
-        TcpKeepalive::new().with_time(TCP_KEEPALIVE_INTERVAL).with_interval(TCP_KEEPALIVE_INTERVAL);
-    socket.set_tcp_keepalive(&probes.with_retries(2))?;
+    let probes = TcpKeepalive::new()
+        .with_time(TCP_KEEPALIVE_TIME)
+        .with_interval(TCP_KEEPALIVE_INTERVAL)
+        .with_retries(TCP_KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
 }
 
