Send brittle servers no more calls than they have slots

Class: a limit of one target that many senders share by reports which are old.

The slots of such a server belong to a few nodes by rendezvous hashing, which count the calls in them; others send through an owner, by the path that nodes without links use. A rejection closes the server at all nodes for a second. The word of one server holds for its service, since one that has just started again has not said so yet. The value that servers state until they no longer do is one type for limits and this.

A proxied response with a length also returns its connection to the pool now: the peer reads no further than the length, so the end was never seen.

--- a/crates/fl-forward/src/attempt.rs
+++ b/crates/fl-forward/src/attempt.rs
@@ -123,6 +123,7 @@
         own_zone: &node.settings.zone,
         excluded_servers: &progress.excluded_servers,
         origin: resumption.origin,
+        has_links: !node.links.are_lost(),
     });
     let chosen = chosen.map_err(|no_server| {
         AttemptError::Refused(match no_server {
@@ -222,11 +223,19 @@
     last_event_id: Option<u64>,
 ) -> Result<SentCall, SendError> {
     let build = || build_request(node, call, chosen, last_event_id);
-    let direct = send_directly(node, chosen, build).await;
+    let goes_to_owner = !chosen.slot_owners.is_empty();
+    let direct = match goes_to_owner {
+        true => Err(SendError::NotConnected("other nodes have the slots".to_string())),
+        false => send_directly(node, chosen, build).await,
+    };
     let (mut connection, response, peer) = match direct {
         Ok((connection, response)) => (connection, response, None),
-        Err(SendError::NotConnected(_)) if node.links.are_lost() => {
-            let sent = peer_proxy::send(node, &chosen.entry.name, call, build).await?;
+        Err(SendError::NotConnected(_)) if goes_to_owner || node.links.are_lost() => {
+            let peers = match goes_to_owner {
+                true => chosen.slot_owners.clone(),
+                false => peer_proxy::some_peers(node),
+            };
+            let sent = peer_proxy::send(node, &chosen.entry.name, call, &peers, build).await?;
             (sent.connection, sent.response, Some(sent.peer))
         }
         Err(error) => return Err(error),
--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -48,6 +48,7 @@
     ServerEntryUnreadable<'_> => "server_entry_unreadable",
     ServerLimitChanged<'_> => "server_limit_changed",
     ServerLeaving<'_> => "server_leaving",
+    ServerBrittle<'_> => "server_brittle",
     ServerPaused<'_> => "server_paused",
     ServerNoticeInvalid<'_> => "server_notice_invalid",
     ServerCrashed<'_> => "server_crashed",
@@ -232,6 +233,20 @@
     pub source: &'a str,
 }
 
+/// A backend server said that it falls over when it turns many calls away, said so no longer, or
+/// turned a call of this node away meanwhile.
+#[derive(Debug, Serialize)]
+pub struct ServerBrittle<'a> {
+    /// The server.
+    pub server: &'a str,
+    /// Calls per second that it may turn away; `null` if it is no longer brittle.
+    pub brittle_per_s: Option<f64>,
+    /// Whether it turned the call away.
+    pub turned_away: bool,
+    /// How this node knows: `response`.
+    pub source: &'a str,
+}
+
 /// A backend server asked this node to send nothing for a time.
 #[derive(Debug, Serialize)]
 pub struct ServerPaused<'a> {
--- a/crates/fl-forward/src/metrics_endpoint.rs
+++ b/crates/fl-forward/src/metrics_endpoint.rs
@@ -74,6 +74,7 @@
     metrics::gauge!("fl_table_version").set(node.route_table.current().version as f64);
     metrics::gauge!("fl_servers_usable").set(node.servers.usable().len() as f64);
     metrics::gauge!("fl_servers_limited").set(node.servers.limited() as f64);
+    metrics::gauge!("fl_servers_brittle").set(node.servers.brittle() as f64);
     metrics::gauge!("fl_quarantined").set(node.crash_suspects.quarantined_count() as f64);
     metrics::gauge!("fl_links_lost").set(f64::from(u8::from(node.links.are_lost())));
     metrics::gauge!("fl_nodes").set(node.peers.admitting_nodes() as f64);
--- a/crates/fl-forward/src/peer_proxy.rs
+++ b/crates/fl-forward/src/peer_proxy.rs
@@ -8,5 +8,5 @@
 mod message;
 mod server;
 
-pub use client::{reaches_server, send};
+pub use client::{reaches_server, send, some_peers};
 pub use server::serve;
--- a/crates/fl-forward/src/peer_proxy/client.rs
+++ b/crates/fl-forward/src/peer_proxy/client.rs
@@ -2,6 +2,7 @@
 
 use super::message::{PROBE_PATH, ProxiedCall, ProxyFailure, restore_headers};
 use crate::connection_pool::{Connection, SendError, send_on_pooled};
+use crate::forwarding::Call;
 use crate::node::Node;
 use bytes::Bytes;
 use futures::stream::{FuturesUnordered, StreamExt as _};
@@ -31,7 +32,7 @@
     pub peer: SocketAddr,
 }
 
-/// Sends a call to a server through a peer; `build` creates the request for the server.
+/// Sends a call to a server through the first of some peers that can; `build` creates the request for the server.
 ///
 /// # Errors
 ///
@@ -40,7 +41,8 @@
 pub async fn send(
     node: &Node,
     server: &str,
-    call: &crate::forwarding::Call,
+    call: &Call,
+    peers: &[SocketAddr],
     build: impl Fn() -> Result<Request<Full<Bytes>>, SendError>,
 ) -> Result<ProxiedResponse, SendError> {
     let proxied = ProxiedCall {
@@ -55,8 +57,8 @@
         Ok(request)
     };
     let mut unsent = NO_PEER.to_string();
-    for peer in some_peers(node, PEERS_TRIED) {
-        match send_through(node, peer, build).await {
+    for peer in peers {
+        match send_through(node, *peer, build).await {
             Ok(response) => {
                 metrics::counter!("fl_calls_via_peer_total").increment(1);
                 return Ok(response);
@@ -100,7 +102,7 @@
 
 /// Returns whether any of some peers reaches a server; false also if there is no peer to ask.
 pub async fn reaches_server(node: &Node, server: &str) -> bool {
-    let asked = some_peers(node, PEERS_ASKED);
+    let asked = random_peers(node, PEERS_ASKED);
     let mut asking: FuturesUnordered<_> =
         asked.into_iter().map(|peer| peer_reaches_server(node, peer, server)).collect();
     let any = async {
@@ -137,7 +139,11 @@
     }
 }
 
-/// Returns some of the peers that may reach the servers, at random.
-fn some_peers(node: &Node, count: usize) -> Vec<SocketAddr> {
+/// Returns the peers through which one attempt is sent while the links are lost, at random.
+pub fn some_peers(node: &Node) -> Vec<SocketAddr> {
+    random_peers(node, PEERS_TRIED)
+}
+
+fn random_peers(node: &Node, count: usize) -> Vec<SocketAddr> {
     node.peers.proxy_candidates().sample(&mut rand::rng(), count).copied().collect()
 }
--- a/crates/fl-forward/src/peer_proxy/server.rs
+++ b/crates/fl-forward/src/peer_proxy/server.rs
@@ -6,14 +6,14 @@
 use crate::links;
 use crate::log::event::CallProxied;
 use crate::node::{ActiveCallGuard, Node};
-use crate::servers::note_response;
+use crate::servers::{InFlightCall, Servers, note_response};
 use bytes::Bytes;
 use fl_protocol::forward::ServerEntry;
 use futures::stream;
 use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt as _, Full, Limited, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body as _, Frame, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
@@ -36,6 +36,7 @@
     peer: SocketAddr,
     sent_at: Instant,
     _active_call: ActiveCallGuard,
+    _in_flight: InFlightCall,
 }
 
 /// A response that is passed on to the peer.
@@ -89,13 +90,10 @@
     let answered = match find_server(&node, &call.server) {
         Err(failure) => Err(failure),
         Ok(server) if request.uri().path() == PROBE_PATH => probe(&node, &server).await,
-        Ok(server) => {
-            let sent_at = Instant::now();
-            let _active_call = ActiveCallGuard::begin(&node);
-            let exchange =
-                Exchange { node: node.clone(), call, server, peer, sent_at, _active_call };
-            exchange.send(request).await
-        }
+        Ok(server) => match Exchange::begin(&node, call, server, peer) {
+            Ok(exchange) => exchange.send(request).await,
+            Err(failure) => Err(failure),
+        },
     };
     answered.unwrap_or_else(|failure| {
         let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
@@ -104,18 +102,14 @@
     })
 }
 
-/// Returns a server that this node may send a call to now.
+/// Returns a server that this node reaches, as far as it knows.
 fn find_server(node: &Node, name: &str) -> Result<ServerEntry, ProxyFailure> {
     if node.links.are_lost() {
         return Err(ProxyFailure::NoLinks);
     }
     let usable = node.servers.usable();
     let found = usable.into_iter().find(|entry| entry.name == name);
-    let server = found.ok_or(ProxyFailure::UnknownServer)?;
-    if !node.servers.accepts_proxied_call(&server) {
-        return Err(ProxyFailure::Denied);
-    }
-    Ok(server)
+    found.ok_or(ProxyFailure::UnknownServer)
 }
 
 async fn probe(
@@ -129,6 +123,24 @@
 }
 
 impl Exchange {
+    fn begin(
+        node: &Arc<Node>,
+        call: ProxiedCall,
+        server: ServerEntry,
+        peer: SocketAddr,
+    ) -> Result<Self, ProxyFailure> {
+        let in_flight = Servers::begin_proxied_call(node, &server);
+        Ok(Exchange {
+            node: node.clone(),
+            call,
+            server,
+            peer,
+            sent_at: Instant::now(),
+            _active_call: ActiveCallGuard::begin(node),
+            _in_flight: in_flight.map_err(|_| ProxyFailure::Denied)?,
+        })
+    }
+
     /// Sends the request to the server; returns its response, whose body follows.
     async fn send(
         self,
@@ -225,7 +237,12 @@
                 Some(Ok(frame)) => {
                     passed.exchange.node.links.record_received();
                     let data = frame.into_data().unwrap_or_default();
-                    Some((Ok(Frame::data(data)), Some(passed)))
+                    // The peer reads no further than the length of the response.
+                    let rest = match passed.body.is_end_stream() {
+                        true => passed.end(),
+                        false => Some(passed),
+                    };
+                    Some((Ok(Frame::data(data)), rest))
                 }
                 Some(Err(_)) => {
                     passed.outcome = "broken off";
@@ -234,8 +251,7 @@
                     Some((Err(ResponseBroken), None))
                 }
                 None => {
-                    passed.outcome = "whole";
-                    passed.keep_connection().await;
+                    passed.end();
                     None
                 }
             }
@@ -243,11 +259,15 @@
         StreamBody::new(frames).boxed_unsync()
     }
 
-    async fn keep_connection(&mut self) {
+    /// Ends a whole response; its connection is kept for the next call.
+    fn end(mut self) -> Option<Self> {
+        self.outcome = "whole";
         if let Some(connection) = self.connection.take_if(|_| self.is_answer) {
-            let Exchange { node, server, .. } = &self.exchange;
-            node.keep_connection(connection, &server.service).await;
+            let (node, service) =
+                (self.exchange.node.clone(), self.exchange.server.service.clone());
+            tokio::spawn(async move { node.keep_connection(connection, &service).await });
         }
+        None
     }
 }
 
--- a/crates/fl-forward/src/peers.rs
+++ b/crates/fl-forward/src/peers.rs
@@ -103,13 +103,18 @@
     /// Returns the peers that may send calls to servers for this node: they report, admit calls, and
     /// have not said lately that their links are lost.
     pub fn proxy_candidates(&self) -> Vec<SocketAddr> {
+        self.hashed_proxy_candidates().into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// Returns the same peers, with the hashes of their addresses.
+    fn hashed_proxy_candidates(&self) -> Vec<(u64, SocketAddr)> {
         let now = boot_time();
         let limit = self.silence_limit();
         let state = self.state.lock();
         let candidates = state.peers.iter().filter(|peer| {
             !peer.is_silent && peer.report.admits && !peer.has_lost_links(now, limit)
         });
-        candidates.map(|peer| peer.address).collect()
+        candidates.map(|peer| (peer.address_hash, peer.address)).collect()
     }
 
     /// Records that a peer has lost its links to the servers.
@@ -127,14 +132,18 @@
         1 + state.peers.iter().filter(|peer| peer.may_admit(now)).count()
     }
 
-    /// Returns the nodes that may admit calls, by the hashes of their addresses.
-    fn admitting_hashes(&self) -> AdmittingNodes {
+    /// Returns the nodes that may admit calls, by the hashes of their addresses. `owns_slots` says
+    /// whether this node may own slots of brittle servers.
+    fn admitting_nodes_ranked(&self, owns_slots: bool) -> AdmittingNodes {
         let now = boot_time();
+        let owners = self.hashed_proxy_candidates();
         let state = self.state.lock();
         let admitting = state.peers.iter().filter(|peer| peer.may_admit(now));
         AdmittingNodes {
             own: name_hash(&self.own_address.to_string()),
             peers: admitting.map(|peer| peer.address_hash).collect(),
+            owners,
+            owns_slots,
         }
     }
 
--- a/crates/fl-forward/src/peers/exchange.rs
+++ b/crates/fl-forward/src/peers/exchange.rs
@@ -5,7 +5,9 @@
 use crate::crash_suspects;
 use crate::log::event::{PeerChanged, ZoneChanged};
 use crate::node::Node;
-use crate::servers::{ReportedNotices, apply_reported_notices};
+use crate::servers::{
+    ReportedBrittleServer, ReportedNotices, apply_reported_brittle_servers, apply_reported_notices,
+};
 use crate::shared_reads::{self, StoreQuery, StoreReply};
 use fl_limits::QuotaReport;
 use fl_routing::crash_suspects::Suspect;
@@ -49,6 +51,8 @@
     /// The sending node reaches no backend server. Repeated with each report for as long as that
     /// holds.
     LinksLost,
+    /// What the sending node heard of brittle servers.
+    BrittleServers(Vec<ReportedBrittleServer>),
 }
 
 impl Datagram {
@@ -105,7 +109,8 @@
         node.log.write(&PeerChanged { peer: &peer, change: "silent", silent_ms });
     }
     node.servers.set_peer_loads(&node.peers.summed_loads());
-    node.servers.set_admitting_nodes(node.peers.admitting_hashes());
+    let owns_slots = !node.is_leaving() && !node.links.are_lost();
+    node.servers.set_admitting_nodes(node.peers.admitting_nodes_ranked(owns_slots));
     update_unreachable_zones(node);
     let instance_ids = node.peers.instance_ids();
     node.quotas.retain_peers(|peer| instance_ids.contains(&peer));
@@ -124,6 +129,10 @@
     if !notices.is_empty() {
         send_to(socket, receivers, &Datagram::Notices(notices));
     }
+    let brittle = node.servers.brittle_servers_to_report();
+    if !brittle.is_empty() {
+        send_to(socket, receivers, &Datagram::BrittleServers(brittle));
+    }
     let suspects = node.crash_suspects.report(repeats_suspects);
     if !suspects.is_empty() {
         send_to(socket, receivers, &Datagram::CrashSuspects(suspects));
@@ -170,6 +179,9 @@
                 crash_suspects::merge(&node, &suspects, "peer")
             }
             Ok(Datagram::LinksLost) => node.peers.note_links_lost(from),
+            Ok(Datagram::BrittleServers(reported)) => {
+                apply_reported_brittle_servers(&node, &reported);
+            }
             Ok(Datagram::Notices(notices)) => apply_reported_notices(&node, &notices),
             Err(_) => metrics::counter!("fl_peer_reports_unreadable_total").increment(1),
         }
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -1,15 +1,18 @@
 //! The backend servers that this node knows, with estimates of their load and their recent
 //! failures.
 
+mod brittle;
 mod known_server;
 mod load;
 mod notices;
 mod registry;
 
+pub use brittle::{ReportedBrittleServer, apply_reported_brittle_servers};
 pub use load::{InFlightCall, InFlightLoad};
 pub use notices::{AdmittingNodes, ReportedNotices, apply_reported_notices, note_response};
 pub use registry::{apply_list, watch};
 
+use brittle::Way;
 use known_server::KnownServer;
 
 use crate::clock::boot_time;
@@ -23,6 +26,7 @@
 use fl_routing::registry_view::RegistryView;
 use fl_routing::stream_origins::StreamOrigin;
 use parking_lot::Mutex;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -82,6 +86,8 @@
     /// What began the stream, if the call is for the rest of one: only the same software version
     /// can go on with it.
     pub origin: Option<StreamOrigin>,
+    /// Whether this node reaches servers itself.
+    pub has_links: bool,
 }
 
 /// The server that was chosen for a call.
@@ -95,13 +101,23 @@
     pub in_flight: u32,
     /// Estimate of the prompt tokens that the server still has to prefill.
     pub pending_prefill_tokens: u64,
+    /// The peers of which one has to send the call, since slots of the server belong to them; empty
+    /// if this node may send it itself.
+    pub slot_owners: Vec<SocketAddr>,
 }
 
 impl Servers {
     /// Chooses a server of a service for a call, and counts the call as sent to it.
     pub fn choose(&self, request: &ServerRequest) -> Result<ChosenServer, NoServer> {
-        let ServerRequest { service, call, is_urgent, own_zone, excluded_servers, origin } =
-            *request;
+        let ServerRequest {
+            service,
+            call,
+            is_urgent,
+            own_zone,
+            excluded_servers,
+            origin,
+            has_links,
+        } = *request;
         let now = boot_time();
         let mut state = self.state.lock();
         let usable: Vec<&ServerEntry> = state
@@ -109,19 +125,28 @@
             .filter(|entry| entry.service == service && !excluded_servers.contains(&entry.name))
             .filter(|entry| origin.is_none_or(|origin| StreamOrigin::of(entry) == origin))
             .collect();
-        let candidates: Vec<Candidate> = usable
+        let is_brittle = state.is_service_brittle(service, now);
+        let way = |entry: &ServerEntry| match is_brittle {
+            true => state.way_to_brittle(entry, has_links, now),
+            false => Some(Way::Direct),
+        };
+        let (candidates, ways): (Vec<Candidate>, Vec<Way>) = usable
             .iter()
             .filter(|entry| state.check_notices(entry, now).is_ok())
-            .map(|entry| state.candidate(entry, now))
-            .collect();
+            .filter_map(|entry| Some((state.candidate(entry, now), way(entry)?)))
+            .unzip();
         let request = PlacementRequest { call, is_urgent, own_zone };
         let placement = place(&request, &candidates, state.prefill_rate, rand::random::<f64>)
             .ok_or_else(|| state.no_server(&usable, now))?;
         let candidate = candidates[placement.index];
         let ServerLoad { in_flight, pending_prefill_tokens, .. } = candidate.load;
         let entry = candidate.entry.clone();
+        let slot_owners = match &ways[placement.index] {
+            Way::Direct => Vec::new(),
+            Way::Through(owners) => owners.clone(),
+        };
         state.count_call(&entry.name, now);
-        Ok(ChosenServer { entry, placement, in_flight, pending_prefill_tokens })
+        Ok(ChosenServer { entry, placement, in_flight, pending_prefill_tokens, slot_owners })
     }
 
     /// Returns the entries of the servers that may be used.
--- a/crates/fl-forward/src/servers/notices.rs
+++ b/crates/fl-forward/src/servers/notices.rs
@@ -2,13 +2,16 @@
 
 use super::{KnownServer, Servers, State};
 use crate::clock::boot_time;
-use crate::log::event::{ServerLeaving, ServerLimitChanged, ServerNoticeInvalid, ServerPaused};
+use crate::log::event::{
+    ServerBrittle, ServerLeaving, ServerLimitChanged, ServerNoticeInvalid, ServerPaused,
+};
 use crate::node::Node;
 use fl_limits::named_limit::sharing_nodes;
 use fl_limits::{LimitStatement, NoticeChanges, SendDenial};
 use fl_protocol::forward::{ResponseNotices, ServerEntry, ServerName};
 use fl_routing::rendezvous::is_among_highest;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// How a node knows what a server asks, in log lines.
@@ -44,6 +47,10 @@
     pub own: u64,
     /// The hashes of its peers.
     pub peers: Vec<u64>,
+    /// The peers that may own slots of brittle servers: hash and address.
+    pub owners: Vec<(u64, SocketAddr)>,
+    /// Whether this node may own slots: it does not leave and reaches the servers.
+    pub owns_slots: bool,
 }
 
 /// Applies what a response of a server asks of this node.
@@ -66,7 +73,17 @@
     if changes.invalid_value {
         node.log.write(&ServerNoticeInvalid { server });
     }
-    if changes.limit || changes.leaving {
+    if changes.brittle {
+        let brittle_per_s = notices.brittle_per_s;
+        let turned_away = notices.was_turned_away;
+        node.log.write(&ServerBrittle {
+            server,
+            brittle_per_s,
+            turned_away,
+            source: FROM_RESPONSE,
+        });
+    }
+    if changes.limit || changes.leaving || changes.brittle {
         node.peers.request_urgent_report();
     }
 }
@@ -108,14 +125,6 @@
         state.known.iter().filter_map(|known| known.notices_to_report(now)).collect()
     }
 
-    /// Returns whether a server may be sent a call that another node decided on: it did not ask this
-    /// node for a pause. The other node counts the call against limits.
-    pub fn accepts_proxied_call(&self, server: &ServerEntry) -> bool {
-        let now = boot_time();
-        let denied = self.state.lock().check_notices(server, now);
-        !matches!(denied, Err(SendDenial::Paused(_) | SendDenial::Leaving))
-    }
-
     /// Returns the number of servers with a limit in force.
     pub fn limited(&self) -> usize {
         let now = boot_time();
@@ -170,15 +179,22 @@
 
     /// Returns the instance of a server that a peer reported on.
     fn reported_server(&mut self, reported: &ReportedNotices) -> Option<&mut KnownServer> {
-        self.known.iter_mut().find(|known| {
-            known.name_hash() == reported.name_hash && known.born_ms == reported.born_ms
-        })
+        self.known_instance(reported.name_hash, reported.born_ms)
+    }
+
+    /// Returns an instance of a server by the hash of its name.
+    pub(super) fn known_instance(
+        &mut self,
+        hash: u64,
+        born_ms: Option<u64>,
+    ) -> Option<&mut KnownServer> {
+        self.known.iter_mut().find(|known| known.name_hash() == hash && known.born_ms == born_ms)
     }
 
     /// Returns how many nodes share the limit of a server, `None` if it names no limit or this node
     /// is not one of them.
     fn sharing_nodes(&self, known: &KnownServer, now: Duration) -> Option<usize> {
-        let AdmittingNodes { own, peers } = &self.admitting_nodes;
+        let AdmittingNodes { own, peers, .. } = &self.admitting_nodes;
         let sharing = sharing_nodes(known.notices.limit.in_force(now)?, peers.len() + 1);
         is_among_highest(known.name_hash(), *own, peers, sharing).then_some(sharing)
     }
--- a/crates/fl-forward/tests/server_notices.rs
+++ b/crates/fl-forward/tests/server_notices.rs
@@ -15,8 +15,14 @@
 use support::{entry, node, store_version};
 
 const CALLS: usize = 20;
-const NOTHING: ResponseNotices =
-    ResponseNotices { limit_per_s: None, is_leaving: false, pause: None, has_invalid_value: false };
+const NOTHING: ResponseNotices = ResponseNotices {
+    limit_per_s: None,
+    brittle_per_s: None,
+    was_turned_away: false,
+    is_leaving: false,
+    pause: None,
+    has_invalid_value: false,
+};
 const LIMITED: ResponseNotices = ResponseNotices { limit_per_s: Some(1.0), ..NOTHING };
 const LEAVING: ResponseNotices = ResponseNotices { is_leaving: true, ..NOTHING };
 const PAUSED: ResponseNotices = ResponseNotices { pause: Some(Duration::from_secs(60)), ..NOTHING };
@@ -44,6 +50,7 @@
         own_zone: "zone-a",
         excluded_servers: &[],
         origin: None,
+        has_links: true,
     });
     chosen.map(|chosen| chosen.entry.name)
 }
--- a/crates/fl-limits/src/named_limit.rs
+++ b/crates/fl-limits/src/named_limit.rs
@@ -8,6 +8,7 @@
 //! A limit is in force until a response of the server no longer names it. A node that does not send
 //! to the server learns of both from the reports of its peers, each with the age of the response.
 
+use crate::stated_value::{StatedValue, Statement};
 use std::time::Duration;
 
 /// Nodes that share a limit, for each call per second of it.
@@ -17,11 +18,6 @@
 /// Rate that is used although a server names a lower limit. A node would otherwise never get the
 /// response that ends the limit.
 const RATE_MIN_PER_S: f64 = 0.1;
-/// How long a limit that a peer reported is in force after its last report.
-const REPORTED_LIMIT_VALIDITY: Duration = Duration::from_secs(10);
-/// How long a node reports that a limit has ended, which covers lost reports.
-const END_REPORT_TIME: Duration = Duration::from_secs(5);
-
 /// What one response of a server said about its limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitStatement {
@@ -34,12 +30,7 @@
 /// The limit of one server, as one node knows it, and the node's part of it.
 #[derive(Debug, Clone, Default)]
 pub struct NamedLimit {
-    newest: Option<LimitStatement>,
-    /// The time until which a limit that a peer reported is in force; `None` if this node received
-    /// the response itself.
-    valid_until: Option<Duration>,
-    /// The time until which this node reports that the limit has ended.
-    end_reported_until: Duration,
+    stated: StatedValue,
     /// Calls that this node may send now, at most 1.
     level: f64,
     as_of: Duration,
@@ -54,59 +45,36 @@
 impl NamedLimit {
     /// Applies a response that this node received. Returns whether the limit in force changed.
     pub fn hear(&mut self, limit_per_s: Option<f64>, now: Duration) -> bool {
-        let before = self.in_force(now);
-        self.valid_until = None;
-        self.apply(LimitStatement { limit_per_s, heard_at: now }, before, now)
+        self.empty_unless_in_force(now);
+        self.stated.hear(limit_per_s, now)
     }
 
     /// Applies what a peer reported of a response that it received. An older response than the
     /// newest known one is ignored. Returns whether the limit in force changed.
     pub fn learn(&mut self, reported: LimitStatement, now: Duration) -> bool {
-        let newest = self.newest.filter(|newest| newest.heard_at >= reported.heard_at);
-        let Some(newest) = newest else {
-            let before = self.in_force(now);
-            self.valid_until = Some(now + REPORTED_LIMIT_VALIDITY);
-            return self.apply(reported, before, now);
-        };
-        // The same claim again may look a little older, as reports take different times.
-        if reported.limit_per_s == newest.limit_per_s && self.valid_until.is_some() {
-            self.valid_until = Some(now + REPORTED_LIMIT_VALIDITY);
-        }
-        // The peer has missed that the limit ended.
-        if newest.limit_per_s.is_none() && reported.limit_per_s.is_some() {
-            self.end_reported_until = now + END_REPORT_TIME;
-        }
-        false
+        self.empty_unless_in_force(now);
+        let LimitStatement { limit_per_s, heard_at } = reported;
+        self.stated.learn(Statement { value: limit_per_s, heard_at }, now)
     }
 
-    /// Replaces the newest statement; `before` is the limit that was in force until now.
-    fn apply(&mut self, statement: LimitStatement, before: Option<f64>, now: Duration) -> bool {
-        self.newest = Some(statement);
-        if before.is_none() {
+    /// Takes away what this node may send, so that a limit begins without.
+    fn empty_unless_in_force(&mut self, now: Duration) {
+        if self.in_force(now).is_none() {
             self.level = 0.0;
             self.as_of = now;
         }
-        if before.is_some() && statement.limit_per_s.is_none() {
-            self.end_reported_until = now + END_REPORT_TIME;
-        }
-        before != statement.limit_per_s
     }
 
     /// Returns the limit that is in force, in calls per second.
     pub fn in_force(&self, now: Duration) -> Option<f64> {
-        let is_valid = self.valid_until.is_none_or(|until| now < until);
-        self.newest.filter(|_| is_valid)?.limit_per_s
+        self.stated.in_force(now)
     }
 
     /// Returns what this node reports to its peers: the newest response if this node received it
     /// and it named a limit, or if the limit has just ended.
     pub fn report(&self, now: Duration) -> Option<LimitStatement> {
-        let is_own = self.valid_until.is_none();
-        let ended = now < self.end_reported_until;
-        self.newest.filter(|newest| match newest.limit_per_s {
-            Some(_) => is_own,
-            None => ended,
-        })
+        let Statement { value, heard_at } = self.stated.report(now)?;
+        Some(LimitStatement { limit_per_s: value, heard_at })
     }
 
     /// Returns whether a call may be sent now. `sharing` is the number of nodes that share the
--- a/crates/fl-limits/src/server_notices.rs
+++ b/crates/fl-limits/src/server_notices.rs
@@ -1,9 +1,10 @@
 //! What a backend server asks of the nodes in its responses, and whether it may be sent a call now.
 //!
-//! A server says that it leaves, that it wants nothing for a time, or how many calls a second it
-//! takes from all nodes. This module alone decides for all three; see
+//! A server says that it leaves, that it wants nothing for a time, how many calls a second it takes
+//! from all nodes, or that it is brittle. This module alone decides for all four; see
 //! `docs/design/100-on-the-platform.md`.
 
+use crate::brittle_server::BrittleServer;
 use crate::named_limit::NamedLimit;
 use fl_protocol::forward::ResponseNotices;
 use std::time::Duration;
@@ -22,6 +23,8 @@
     Paused(Duration),
     /// The limit that the server named leaves no room for a call of this node.
     Limited,
+    /// The server is brittle and this node has no free slot of it.
+    Full,
 }
 
 /// What changed for a server with a response.
@@ -33,6 +36,9 @@
     pub leaving: bool,
     /// A pause began.
     pub paused: bool,
+    /// Peers have to know that the server has become brittle or no longer is, or that it has turned
+    /// a call away while it is.
+    pub brittle: bool,
     /// The server's instance sent an invalid value for the first time.
     pub invalid_value: bool,
 }
@@ -42,6 +48,8 @@
 pub struct ServerNotices {
     /// The rate limit that the server names.
     pub limit: NamedLimit,
+    /// Whether the server falls over when it has no room.
+    pub brittle: BrittleServer,
     is_leaving: bool,
     pause: Pause,
     has_sent_invalid_value: bool,
@@ -91,10 +99,11 @@
         let leaving = notices.is_leaving && !self.is_leaving;
         self.is_leaving |= notices.is_leaving;
         let limit = self.limit.hear(notices.limit_per_s, now);
+        let brittle = self.brittle.hear(notices.brittle_per_s, notices.was_turned_away, now);
         let paused = self.apply_pause(notices.pause, now);
         let invalid_value = notices.has_invalid_value && !self.has_sent_invalid_value;
         self.has_sent_invalid_value |= notices.has_invalid_value;
-        NoticeChanges { limit, leaving, paused, invalid_value }
+        NoticeChanges { limit, leaving, paused, brittle, invalid_value }
     }
 
     /// Begins, keeps or ends a pause, and returns whether one began.
--- a/crates/fl-protocol/src/forward.rs
+++ b/crates/fl-protocol/src/forward.rs
@@ -135,6 +135,11 @@
     /// Calls per second that the server takes from all nodes together, if it names a limit. The
     /// limit ends with the first response that does not name it.
     pub limit_per_s: Option<f64>,
+    /// Calls per second that the server may turn away for want of room until it falls over, if it
+    /// says that it is brittle.
+    pub brittle_per_s: Option<f64>,
+    /// Whether the server turned the call away without running it.
+    pub was_turned_away: bool,
     /// Whether the server says that it leaves.
     pub is_leaving: bool,
     /// Time for which the server wants nothing from this node.
