Adopt no quota level from a node that does not hear the others

Cause: after 7 s of silence a peer is assumed to take nothing, so the bucket of the 20 cut nodes fills while 58 others empty it; when reports arrive again, the others adopt the level of a peer that was silent for over a second, though it is they who know better. Class: state taken from a peer without asking what it rests on.

--- a/crates/fl-limits/src/shared_quota.rs
+++ b/crates/fl-limits/src/shared_quota.rs
@@ -21,6 +21,8 @@
 const MAX_ASSUMED_SILENCE: Duration = Duration::from_secs(7);
 /// Silence after which a peer's own estimate of the level is taken into account.
 const LONG_SILENCE: Duration = Duration::from_millis(1000);
+/// How long the level of a node that was cut off stays doubtful, until it has heard its peers.
+const DOUBT_TIME: Duration = Duration::from_secs(3);
 /// A quota is scarce when fewer units are left than it gains in this time.
 const SCARCE_TIME: Duration = Duration::from_millis(1000);
 /// Longest time to retry that is returned to callers, since quotas may change meanwhile.
@@ -105,6 +107,8 @@
     last_observation: (f64, Duration),
     as_of: Duration,
     provisional_until: Option<Duration>,
+    /// Until then the level is too uncertain for peers to adopt, since this node is or was cut off.
+    doubtful_until: Duration,
     /// Sorted by peer.
     peers: Vec<PeerConsumption>,
 }
@@ -121,6 +125,7 @@
             last_observation: (0.0, now),
             as_of: now,
             provisional_until: None,
+            doubtful_until: Duration::ZERO,
             peers: Vec::new(),
         }
     }
@@ -146,9 +151,10 @@
     /// Returns the report to send to the peers.
     pub fn report(&mut self, now: Duration) -> QuotaReport {
         self.refill(now);
+        self.update_cut(now);
         let (taken, observed_at) = std::mem::replace(&mut self.last_observation, (self.taken, now));
         self.rate.observe(self.taken - taken, now.saturating_sub(observed_at));
-        let is_provisional = self.provisional_until.is_some();
+        let is_provisional = self.provisional_until.is_some() || now < self.doubtful_until;
         // The peers also refuse calls once nothing is left, so they are assumed to have taken no
         // more than what was available.
         let available = (self.level + self.limit.tolerance).max(0.0);
@@ -163,6 +169,7 @@
     /// A provisional level of the peer is neither adopted nor such a bound.
     pub fn apply_report(&mut self, peer: u64, report: QuotaReport, now: Duration) {
         self.refill(now);
+        self.update_cut(now);
         let found = self.peers.binary_search_by_key(&peer, |known| known.peer);
         let Ok(index) = found else {
             let consumption = PeerConsumption {
@@ -210,6 +217,22 @@
         self.peers.retain(|known| is_known(known.peer));
     }
 
+    /// Notes whether most of the units are taken by peers that are not heard: this node is cut off
+    /// from them, and its bucket fills while theirs do not.
+    fn update_cut(&mut self, now: Duration) {
+        let usual_per_s = |is_counted: &dyn Fn(&PeerConsumption) -> bool| -> f64 {
+            let counted = self.peers.iter().filter(|known| is_counted(known));
+            counted.map(|known| known.rate.usual_per_s).sum()
+        };
+        let unheard_per_s =
+            usual_per_s(&|known| now.saturating_sub(known.reported_at) > LONG_SILENCE);
+        let total_per_s = usual_per_s(&|_| true) + self.rate.usual_per_s;
+        let is_cut = unheard_per_s > total_per_s / 2.0;
+        if is_cut {
+            self.doubtful_until = now + DOUBT_TIME;
+        }
+    }
+
     /// Takes units if they are available. Otherwise returns the shortage and the time after which
     /// to retry.
     ///
@@ -217,6 +240,7 @@
     /// then becomes negative, since it could otherwise never pass.
     pub fn try_take(&mut self, units: f64, now: Duration) -> Result<(), QuotaShortage> {
         self.refill(now);
+        self.update_cut(now);
         let free = self.level - self.estimate_unreported(now) + self.limit.tolerance;
         let needed = units.min(self.limit.burst + self.limit.tolerance);
         if free >= needed {
