Move the sums of the peers' loads into fl-routing

What nodes know of each other's calls in flight was a part of the reports' exchange and could not be tested without sockets. It is a module of its own now (fl_routing::peer_loads); when the sums are made, and from what, is as before.

--- a/crates/fl-forward/src/peers.rs
+++ b/crates/fl-forward/src/peers.rs
@@ -17,7 +17,7 @@
 use report::{demand_added, instance_id};
 
 use crate::clock::boot_time;
-use crate::servers::{AdmittingNodes, InFlightLoad};
+use crate::servers::AdmittingNodes;
 use crate::usage::{WindowCounts, add_count};
 use fl_kernel::clock::unix_ms;
 use fl_kernel::forward::ForwardSettings;
@@ -62,6 +62,21 @@
     started_ms: u64,
 }
 
+/// What followed from a report that was applied.
+struct AppliedReport {
+    /// The hash of the peer's address.
+    address_hash: u64,
+    /// How long the peer was silent before, if it was.
+    silence: Option<Duration>,
+}
+
+/// A peer that has become silent.
+struct SilentPeer {
+    address_hash: u64,
+    vm: VmName,
+    silence: Duration,
+}
+
 impl Peers {
     /// Creates the state of a node that knows no peers.
     pub fn new(settings: &ForwardSettings) -> Self {
@@ -229,8 +244,8 @@
         }
     }
 
-    /// Applies a report. If the peer was silent, returns for how long it was.
-    fn apply_report(&self, from: SocketAddr, report: PeerReport) -> Option<Duration> {
+    /// Applies a report, unless a newer one was applied before.
+    fn apply_report(&self, from: SocketAddr, report: PeerReport) -> Option<AppliedReport> {
         self.add_peer(from);
         let now = boot_time();
         let mut state = self.state.lock();
@@ -247,6 +262,7 @@
         let added = demand_added(&counted, &report.demand);
         let silence = peer.reported_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let was_silent = peer.is_silent;
+        let address_hash = peer.address_hash;
         peer.reported_at = Some(now);
         peer.is_silent = false;
         if report.started_ms > peer.report.started_ms && !peer.report.usage.is_empty() {
@@ -258,12 +274,12 @@
         for (service, tokens) in added {
             add_count(&mut state.demand, &service, tokens);
         }
-        was_silent.then_some(silence)
+        Some(AppliedReport { address_hash, silence: was_silent.then_some(silence) })
     }
 
     /// Marks peers that became silent and forgets those that were silent for long. Returns the
     /// newly silent ones.
-    fn update_silent_peers(&self) -> Vec<(VmName, Duration)> {
+    fn update_silent_peers(&self) -> Vec<SilentPeer> {
         let now = boot_time();
         let limit = self.silence_limit();
         let mut state = self.state.lock();
@@ -274,26 +290,16 @@
         for peer in &mut state.peers {
             if !peer.is_silent && peer.silence(now) > limit {
                 peer.is_silent = true;
-                silent.push((peer.report.vm.clone(), peer.silence(now)));
+                silent.push(SilentPeer {
+                    address_hash: peer.address_hash,
+                    vm: peer.report.vm.clone(),
+                    silence: peer.silence(now),
+                });
             }
         }
         silent
     }
 
-    /// Returns the sums of the peers' loads, sorted by the hash of the server's name.
-    fn summed_loads(&self) -> Vec<InFlightLoad> {
-        let state = self.state.lock();
-        let mut sums: Vec<InFlightLoad> = Vec::new();
-        let reporting = state.peers.iter().filter(|peer| !peer.is_silent);
-        for load in reporting.flat_map(|peer| &peer.report.loads) {
-            match sums.binary_search_by_key(&load.name_hash, |sum| sum.name_hash) {
-                Ok(index) => sums[index].add(load),
-                Err(index) => sums.insert(index, *load),
-            }
-        }
-        sums
-    }
-
     /// Returns the ids of the process instances of the remembered peers.
     fn instance_ids(&self) -> Vec<u64> {
         self.state.lock().peers.iter().map(|peer| instance_id(&peer.report)).collect()
--- a/crates/fl-forward/src/peers/exchange.rs
+++ b/crates/fl-forward/src/peers/exchange.rs
@@ -104,11 +104,13 @@
 
 /// Updates what follows from the peers' reports.
 fn update_peer_state(node: &Node) {
-    for (peer, silence) in node.peers.update_silent_peers() {
-        let silent_ms = silence.as_millis() as u64;
-        node.log.write(&PeerChanged { peer: &peer, change: "silent", silent_ms });
+    let silent_peers = node.peers.update_silent_peers();
+    node.servers.forget_peer_loads(silent_peers.iter().map(|peer| peer.address_hash));
+    for peer in &silent_peers {
+        let silent_ms = peer.silence.as_millis() as u64;
+        node.log.write(&PeerChanged { peer: &peer.vm, change: "silent", silent_ms });
     }
-    node.servers.set_peer_loads(&node.peers.summed_loads());
+    node.servers.sum_peer_loads();
     let owns_slots = !node.is_leaving() && !node.links.are_lost();
     node.servers.set_admitting_nodes(node.peers.admitting_nodes_ranked(owns_slots));
     update_unreachable_zones(node);
@@ -188,7 +190,7 @@
     }
 }
 
-fn receive_report(node: &Node, from: SocketAddr, report: PeerReport) {
+fn receive_report(node: &Node, from: SocketAddr, mut report: PeerReport) {
     node.route_table.note_version(report.table_version);
     let vm = report.vm.clone();
     let quota_reports =
@@ -198,9 +200,13 @@
         });
     node.quotas.apply_reports(instance_id(&report), &quota_reports.collect::<Vec<_>>());
     let list_changed = report.is_fresh && report.registry_digest != node.servers.digest();
-    if let Some(silence) = node.peers.apply_report(from, report) {
-        let silent_ms = silence.as_millis() as u64;
-        node.log.write(&PeerChanged { peer: &vm, change: "heard", silent_ms });
+    let loads = std::mem::take(&mut report.loads);
+    if let Some(applied) = node.peers.apply_report(from, report) {
+        node.servers.apply_peer_loads(applied.address_hash, loads);
+        if let Some(silence) = applied.silence {
+            let silent_ms = silence.as_millis() as u64;
+            node.log.write(&PeerChanged { peer: &vm, change: "heard", silent_ms });
+        }
     }
     if list_changed && shared_reads::chosen_reader(node) == Some(from) {
         node.peers.notify_reader_list_change();
--- a/crates/fl-forward/src/peers/report.rs
+++ b/crates/fl-forward/src/peers/report.rs
@@ -2,10 +2,10 @@
 
 use crate::admission::WorkspaceQuotaReport;
 use crate::node::Node;
-use crate::servers::InFlightLoad;
 use crate::shared_reads::is_fresh;
 use crate::usage::WindowCounts;
 use fl_protocol::{DataCenterName, ServiceName, VmName, WorkspaceName, hash64};
+use fl_routing::peer_loads::InFlightLoad;
 use serde::{Deserialize, Serialize};
 
 /// The state that a node reports to its peers.
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -8,7 +8,7 @@
 mod registry;
 
 pub use brittle::{ReportedBrittleServer, apply_reported_brittle_servers};
-pub use load::{InFlightCall, InFlightLoad};
+pub use load::InFlightCall;
 pub use notices::{AdmittingNodes, ReportedNotices, apply_reported_notices, note_response};
 pub use registry::{apply_list, watch};
 
@@ -20,6 +20,7 @@
 use fl_limits::SendDenial;
 use fl_protocol::forward::{ModelCall, ServerEntry, ServerName};
 use fl_protocol::{DataCenterName, ServiceName};
+use fl_routing::peer_loads::{InFlightLoad, PeerLoads};
 use fl_routing::placement::{
     Candidate, Placement, PlacementRequest, PrefillRate, ServerLoad, place,
 };
@@ -48,6 +49,8 @@
     digest: u64,
     /// What is known of each listed server, sorted by name.
     known: Vec<KnownServer>,
+    /// The peers' calls in flight at the servers.
+    peer_loads: PeerLoads,
     /// Estimate of the rate at which servers prefill prompts.
     prefill_rate: PrefillRate,
     /// Data centres that seem unreachable, sorted by name.
@@ -221,13 +224,20 @@
         self.state.lock().prefill_rate
     }
 
-    /// Applies the sums of the peers' loads, which are sorted by the hash of the server's name.
-    pub fn set_peer_loads(&self, loads: &[InFlightLoad]) {
+    /// Applies the calls in flight that a peer reported; `peer` is the hash of its address.
+    pub fn apply_peer_loads(&self, peer: u64, loads: Vec<InFlightLoad>) {
+        self.state.lock().peer_loads.apply_report(peer, loads);
+    }
+
+    /// Forgets the calls of peers that have become silent.
+    pub fn forget_peer_loads(&self, peers: impl IntoIterator<Item = u64>) {
         let mut state = self.state.lock();
-        for known in &mut state.known {
-            let index = loads.binary_search_by_key(&known.name_hash(), |load| load.name_hash);
-            known.peers = index.map_or(InFlightLoad::idle(known.name_hash()), |index| loads[index]);
-        }
+        peers.into_iter().for_each(|peer| state.peer_loads.forget(peer));
+    }
+
+    /// Sums the calls in flight of all peers.
+    pub fn sum_peer_loads(&self) {
+        self.state.lock().peer_loads.sum_up();
     }
 
     /// Sets the data centres that seem unreachable. Returns each change with its text for the log.
@@ -271,7 +281,9 @@
     /// Returns a server with its load estimate, as placement needs it.
     fn candidate<'a>(&self, entry: &'a ServerEntry, now: Duration) -> Candidate<'a> {
         let known = self.known_server(&entry.name);
-        let mut load = known.map_or_else(ServerLoad::default, |known| known.load(now));
+        let peers = |known: &KnownServer| self.peer_loads.at_server(known.name_hash());
+        let load = known.map(|known| known.load(&peers(known), now));
+        let mut load = load.unwrap_or_default();
         if self.unreachable_zones.binary_search(&entry.zone).is_ok() {
             load.failure_score = load.failure_score.max(UNREACHABLE_ZONE_SCORE);
         }
--- a/crates/fl-forward/src/servers/known_server.rs
+++ b/crates/fl-forward/src/servers/known_server.rs
@@ -1,8 +1,8 @@
 //! What a node knows of one server beyond its registry entry.
 
-use super::InFlightLoad;
 use fl_limits::ServerNotices;
 use fl_protocol::forward::ServerName;
+use fl_routing::peer_loads::InFlightLoad;
 use fl_routing::placement::ServerLoad;
 use fl_routing::rendezvous::name_hash;
 use std::time::Duration;
@@ -17,8 +17,6 @@
     pub(super) name: ServerName,
     /// This node's calls in flight at the server.
     pub(super) own: InFlightLoad,
-    /// The peers' calls in flight at the server, from their last reports.
-    pub(super) peers: InFlightLoad,
     /// Start of its instance, in Unix milliseconds, if its entry says so.
     pub(super) born_ms: Option<u64>,
     /// What it asked of this node in its responses.
@@ -33,7 +31,6 @@
         KnownServer {
             name: name.to_string(),
             own: InFlightLoad::idle(name_hash(name)),
-            peers: InFlightLoad::idle(name_hash(name)),
             born_ms,
             notices: ServerNotices::default(),
             failure_score: 0.0,
@@ -53,9 +50,10 @@
         }
     }
 
-    pub(super) fn load(&self, now: Duration) -> ServerLoad {
+    /// Returns its load, of which `peers` is the part of the other nodes.
+    pub(super) fn load(&self, peers: &InFlightLoad, now: Duration) -> ServerLoad {
         let mut load = self.own;
-        load.add(&self.peers);
+        load.add(peers);
         ServerLoad {
             in_flight: load.in_flight,
             pending_prefill_tokens: load.pending_prefill_tokens,
--- a/crates/fl-forward/src/servers/load.rs
+++ b/crates/fl-forward/src/servers/load.rs
@@ -3,56 +3,9 @@
 use super::ChosenServer;
 use crate::node::Node;
 use fl_protocol::forward::{ServerEntry, ServerName};
-use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The calls in flight at one server, of one node or summed over several.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct InFlightLoad {
-    /// The hash of the server's name.
-    pub name_hash: u64,
-    /// Number of calls in flight.
-    pub in_flight: u32,
-    /// Prompt tokens of these calls that the server has not prefilled.
-    pub pending_prefill_tokens: u64,
-    /// The part of these tokens that belongs to urgent calls.
-    pub urgent_prefill_tokens: u64,
-}
-
-impl InFlightLoad {
-    /// Creates the load of a server without calls; `name_hash` is the hash of its name.
-    pub fn idle(name_hash: u64) -> Self {
-        InFlightLoad {
-            name_hash,
-            in_flight: 0,
-            pending_prefill_tokens: 0,
-            urgent_prefill_tokens: 0,
-        }
-    }
-
-    /// Counts a call that was sent to the server.
-    pub fn begin(&mut self, pending_prefill_tokens: u64, is_urgent: bool) {
-        self.in_flight += 1;
-        self.pending_prefill_tokens += pending_prefill_tokens;
-        self.urgent_prefill_tokens += if is_urgent { pending_prefill_tokens } else { 0 };
-    }
-
-    /// Subtracts tokens that the server has prefilled.
-    pub fn record_prefilled(&mut self, tokens: u64, is_urgent: bool) {
-        self.pending_prefill_tokens = self.pending_prefill_tokens.saturating_sub(tokens);
-        let urgent = if is_urgent { tokens } else { 0 };
-        self.urgent_prefill_tokens = self.urgent_prefill_tokens.saturating_sub(urgent);
-    }
-
-    /// Adds another node's load at the same server.
-    pub fn add(&mut self, other: &InFlightLoad) {
-        self.in_flight += other.in_flight;
-        self.pending_prefill_tokens += other.pending_prefill_tokens;
-        self.urgent_prefill_tokens += other.urgent_prefill_tokens;
-    }
-}
-
 /// Counts a call as in flight at a server until it is dropped.
 pub struct InFlightCall {
     node: Arc<Node>,
--- a/crates/fl-forward/tests/server_occupancy.rs
+++ b/crates/fl-forward/tests/server_occupancy.rs
@@ -4,8 +4,9 @@
 mod support;
 
 use fl_forward::clock::boot_time;
-use fl_forward::servers::{InFlightLoad, apply_list};
+use fl_forward::servers::apply_list;
 use fl_kernel::forward::ServerList;
+use fl_routing::peer_loads::InFlightLoad;
 use fl_routing::rendezvous::name_hash;
 use std::sync::Arc;
 use support::{entry, node, store_version};
@@ -26,8 +27,8 @@
         boot_time(),
     );
     assert!(node.servers.occupied_servers("model").abs() < 0.01);
-    let mut loads = vec![load("a", 4), load("b", 4), load("c", 4)];
-    loads.sort_by_key(|load| load.name_hash);
-    node.servers.set_peer_loads(&loads);
+    let loads = vec![load("a", 4), load("b", 4), load("c", 4)];
+    node.servers.apply_peer_loads(1, loads);
+    node.servers.sum_peer_loads();
     assert!((node.servers.occupied_servers("model") - 1.5).abs() < 0.01);
 }
--- a/crates/fl-routing/src/lib.rs
+++ b/crates/fl-routing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod crash_suspects;
 pub mod in_flight;
 pub mod load_estimate;
+pub mod peer_loads;
 pub mod placement;
 pub mod policy;
 pub mod quarantine;
