Place calls by loads that age, and announce long prompts at once

Callers at 77 nodes got first tokens late although servers had room: short prompts were placed behind long ones that other nodes had sent a moment ago.

Cause: peers' reports were summed once a round (0.9 s at 77 nodes, 2.3 s at 195) and then used as if they held until the next report. A long prompt was over before others heard of it, and then kept them away from a free server.

Now a report counts as soon as it arrives, pending prompts in it are worked off at the prefill rate, and a call whose prompt takes an eighth of the shortest target or more is announced to all peers, 200 announcements a second at most to each node whatever the size of the fleet.

Ruled out: too few servers (82 to 142 with 5 of 12 slots in use), the engine's interleaving (calls that met no long prompt were on time).

--- a/crates/fl-forward/src/attempt.rs
+++ b/crates/fl-forward/src/attempt.rs
@@ -5,6 +5,7 @@
 use crate::links;
 use crate::node::Node;
 use crate::peer_proxy;
+use crate::peers;
 use crate::servers::{ChosenServer, InFlightCall, NoServer, ServerRequest, note_response};
 use bytes::Bytes;
 use fl_kernel::forward::{Refusal, ResponseHead, SendOptions};
@@ -132,6 +133,9 @@
         })
     })?;
     let in_flight = InFlightCall::begin(node, &chosen, is_urgent);
+    if chosen.slot_owners.is_empty() {
+        peers::announce_call(node, &chosen, is_urgent);
+    }
     let sent_at = Instant::now();
     let sending = send(node, call, &chosen, resumption.last_event_id);
     let sent = tokio::time::timeout_at(call.admission.deadline, sending).await;
--- a/crates/fl-forward/src/peers.rs
+++ b/crates/fl-forward/src/peers.rs
@@ -4,15 +4,18 @@
 //! datagram. The interval grows with the number of nodes to bound the cost. Nodes find each other
 //! through rows in the platform's store; the sender of a datagram is also added as a peer.
 
+mod announcements;
 mod discovery;
 mod exchange;
 mod peer;
 mod report;
 
+pub use announcements::announce_call;
 pub use discovery::discover;
 pub use exchange::{Datagram, receive, send_reports};
 pub use report::PeerReport;
 
+use exchange::send_to;
 use peer::Peer;
 use report::{demand_added, instance_id};
 
@@ -22,6 +25,8 @@
 use fl_kernel::clock::unix_ms;
 use fl_kernel::forward::ForwardSettings;
 use fl_protocol::{ServiceName, VmName};
+use fl_routing::call_announcements::AnnouncementBudget;
+use fl_routing::peer_loads::ReportId;
 use fl_routing::rendezvous::name_hash;
 use fl_routing::report_rounds::ReportRounds;
 use fl_routing::stream_origins::OriginHolder;
@@ -60,6 +65,7 @@
     demand: Vec<(ServiceName, u64)>,
     sequence: u64,
     started_ms: u64,
+    announcements: AnnouncementBudget,
 }
 
 /// What followed from a report that was applied.
@@ -103,6 +109,22 @@
         }
     }
 
+    /// Sends a datagram to every known peer. It may be lost.
+    pub fn send_to_all(&self, datagram: &Datagram) {
+        if let Some(socket) = self.socket.get() {
+            send_to(socket, &self.addresses(), datagram);
+        }
+    }
+
+    /// Takes the announcement of a call from this node's part of the budget. Returns the report
+    /// that the call follows, `None` if the budget is used up.
+    fn take_announcement(&self, now: Duration) -> Option<ReportId> {
+        let mut state = self.state.lock();
+        let nodes = state.peers.len() + 1;
+        let last_report = (state.started_ms, state.sequence);
+        state.announcements.try_take(now, nodes).then_some(last_report)
+    }
+
     /// Returns the peers that may remember the origins of streams: their addresses, and how they
     /// are ranked.
     pub fn origin_holders(&self) -> (Vec<SocketAddr>, Vec<OriginHolder>) {
--- /dev/null
+++ b/crates/fl-forward/src/peers/announcements.rs
@@ -0,0 +1,32 @@
+//! Announces calls with long prompts to the peers, so that they place no others behind them.
+
+use super::Datagram;
+use crate::clock::boot_time;
+use crate::node::Node;
+use crate::servers::ChosenServer;
+use fl_routing::call_announcements::is_worth_announcing;
+use fl_routing::load_estimate::duration_from_ms;
+use fl_routing::peer_loads::AnnouncedCall;
+use fl_routing::rendezvous::name_hash;
+
+/// Announces a call that this node is about to send to the chosen server, if its prompt keeps the
+/// server busy for long and the budget allows it.
+pub fn announce_call(node: &Node, chosen: &ChosenServer, is_urgent: bool) {
+    let prefill_tokens = chosen.placement.prefill_tokens;
+    if prefill_tokens == 0 {
+        return;
+    }
+    let prefill_ms = node.servers.prefill_rate().prefill_ms(prefill_tokens);
+    let Some(shortest_target) = node.route_table.urgencies().shortest_target() else { return };
+    if !is_worth_announcing(duration_from_ms(prefill_ms), shortest_target) {
+        return;
+    }
+    let Some(after_report) = node.peers.take_announcement(boot_time()) else {
+        metrics::counter!("fl_calls_unannounced_total").increment(1);
+        return;
+    };
+    metrics::counter!("fl_calls_announced_total").increment(1);
+    let name_hash = name_hash(&chosen.entry.name);
+    let call = AnnouncedCall { after_report, name_hash, prefill_tokens, is_urgent };
+    node.peers.send_to_all(&Datagram::CallAnnounced(call));
+}
--- a/crates/fl-forward/src/peers/exchange.rs
+++ b/crates/fl-forward/src/peers/exchange.rs
@@ -11,6 +11,8 @@
 use crate::shared_reads::{self, StoreQuery, StoreReply};
 use fl_limits::QuotaReport;
 use fl_routing::crash_suspects::Suspect;
+use fl_routing::peer_loads::AnnouncedCall;
+use fl_routing::rendezvous::name_hash;
 use fl_routing::report_rounds::ReportRounds;
 use fl_routing::stream_origins::{StreamHash, StreamOrigin};
 use fl_routing::zone_reachability::unreachable_zones;
@@ -53,6 +55,8 @@
     LinksLost,
     /// What the sending node heard of brittle servers.
     BrittleServers(Vec<ReportedBrittleServer>),
+    /// The sending node has just sent a call with a long prompt to a backend server.
+    CallAnnounced(AnnouncedCall),
 }
 
 impl Datagram {
@@ -110,7 +114,6 @@
         let silent_ms = peer.silence.as_millis() as u64;
         node.log.write(&PeerChanged { peer: &peer.vm, change: "silent", silent_ms });
     }
-    node.servers.sum_peer_loads();
     let owns_slots = !node.is_leaving() && !node.links.are_lost();
     node.servers.set_admitting_nodes(node.peers.admitting_nodes_ranked(owns_slots));
     update_unreachable_zones(node);
@@ -141,7 +144,8 @@
     }
 }
 
-fn send_to(socket: &UdpSocket, receivers: &[SocketAddr], datagram: &Datagram) {
+/// Sends a datagram to several peers.
+pub(super) fn send_to(socket: &UdpSocket, receivers: &[SocketAddr], datagram: &Datagram) {
     let Ok(bytes) = postcard::to_stdvec(datagram) else { return };
     for address in receivers {
         send_bytes(socket, &bytes, *address);
@@ -184,6 +188,9 @@
             Ok(Datagram::BrittleServers(reported)) => {
                 apply_reported_brittle_servers(&node, &reported);
             }
+            Ok(Datagram::CallAnnounced(call)) => {
+                node.servers.apply_announced_call(name_hash(&from.to_string()), call);
+            }
             Ok(Datagram::Notices(notices)) => apply_reported_notices(&node, &notices),
             Err(_) => metrics::counter!("fl_peer_reports_unreadable_total").increment(1),
         }
@@ -200,9 +207,9 @@
         });
     node.quotas.apply_reports(instance_id(&report), &quota_reports.collect::<Vec<_>>());
     let list_changed = report.is_fresh && report.registry_digest != node.servers.digest();
-    let loads = std::mem::take(&mut report.loads);
+    let (report_id, loads) = (report.id(), std::mem::take(&mut report.loads));
     if let Some(applied) = node.peers.apply_report(from, report) {
-        node.servers.apply_peer_loads(applied.address_hash, loads);
+        node.servers.apply_peer_loads(applied.address_hash, report_id, &loads);
         if let Some(silence) = applied.silence {
             let silent_ms = silence.as_millis() as u64;
             node.log.write(&PeerChanged { peer: &vm, change: "heard", silent_ms });
--- a/crates/fl-forward/src/peers/report.rs
+++ b/crates/fl-forward/src/peers/report.rs
@@ -5,7 +5,7 @@
 use crate::shared_reads::is_fresh;
 use crate::usage::WindowCounts;
 use fl_protocol::{DataCenterName, ServiceName, VmName, WorkspaceName, hash64};
-use fl_routing::peer_loads::InFlightLoad;
+use fl_routing::peer_loads::{InFlightLoad, ReportId};
 use serde::{Deserialize, Serialize};
 
 /// The state that a node reports to its peers.
@@ -41,6 +41,13 @@
     pub usage: Vec<WindowCounts>,
 }
 
+impl PeerReport {
+    /// Returns which report of which process instance it is.
+    pub fn id(&self) -> ReportId {
+        (self.started_ms, self.sequence)
+    }
+}
+
 /// Builds this node's next report.
 pub fn build_report(node: &Node) -> PeerReport {
     let mut state = node.peers.state.lock();
--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -5,6 +5,7 @@
 mod known_server;
 mod load;
 mod notices;
+mod peer_loads;
 mod registry;
 
 pub use brittle::{ReportedBrittleServer, apply_reported_brittle_servers};
@@ -224,22 +225,6 @@
         self.state.lock().prefill_rate
     }
 
-    /// Applies the calls in flight that a peer reported; `peer` is the hash of its address.
-    pub fn apply_peer_loads(&self, peer: u64, loads: Vec<InFlightLoad>) {
-        self.state.lock().peer_loads.apply_report(peer, loads);
-    }
-
-    /// Forgets the calls of peers that have become silent.
-    pub fn forget_peer_loads(&self, peers: impl IntoIterator<Item = u64>) {
-        let mut state = self.state.lock();
-        peers.into_iter().for_each(|peer| state.peer_loads.forget(peer));
-    }
-
-    /// Sums the calls in flight of all peers.
-    pub fn sum_peer_loads(&self) {
-        self.state.lock().peer_loads.sum_up();
-    }
-
     /// Sets the data centres that seem unreachable. Returns each change with its text for the log.
     pub fn set_unreachable_zones(
         &self,
@@ -281,7 +266,9 @@
     /// Returns a server with its load estimate, as placement needs it.
     fn candidate<'a>(&self, entry: &'a ServerEntry, now: Duration) -> Candidate<'a> {
         let known = self.known_server(&entry.name);
-        let peers = |known: &KnownServer| self.peer_loads.at_server(known.name_hash());
+        let peers = |known: &KnownServer| {
+            self.peer_loads.at_server(known.name_hash(), now, self.prefill_rate)
+        };
         let load = known.map(|known| known.load(&peers(known), now));
         let mut load = load.unwrap_or_default();
         if self.unreachable_zones.binary_search(&entry.zone).is_ok() {
--- a/crates/fl-forward/tests/server_occupancy.rs
+++ b/crates/fl-forward/tests/server_occupancy.rs
@@ -28,7 +28,6 @@
     );
     assert!(node.servers.occupied_servers("model").abs() < 0.01);
     let loads = vec![load("a", 4), load("b", 4), load("c", 4)];
-    node.servers.apply_peer_loads(1, loads);
-    node.servers.sum_peer_loads();
+    node.servers.apply_peer_loads(1, (1, 1), &loads);
     assert!((node.servers.occupied_servers("model") - 1.5).abs() < 0.01);
 }
--- a/crates/fl-routing/src/lib.rs
+++ b/crates/fl-routing/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod backend_links;
 pub mod cache_estimate;
+pub mod call_announcements;
 pub mod crash_suspects;
 pub mod in_flight;
 pub mod load_estimate;
--- a/crates/fl-routing/src/urgency.rs
+++ b/crates/fl-routing/src/urgency.rs
@@ -35,6 +35,11 @@
         u8::try_from(more_urgent).unwrap_or(LEAST_URGENT).min(LEAST_URGENT)
     }
 
+    /// Returns the shortest target of a first token, if any is declared.
+    pub fn shortest_target(&self) -> Option<Duration> {
+        self.declared.iter().map(|(_, target)| *target).min()
+    }
+
     /// Returns whether a call is more urgent than some route and no route is more urgent than it.
     ///
     /// If all routes are equally urgent, no call is the most urgent one.
--- a/crates/fl-routing/tests/stale_loads.rs
+++ b/crates/fl-routing/tests/stale_loads.rs
@@ -2,7 +2,8 @@
 //! with short prompts, long ones, nodes that are cut off and nodes that start again.
 
 use fl_protocol::forward::{ModelCall, ServerEntry, ServerState};
-use fl_routing::peer_loads::{InFlightLoad, PeerLoads};
+use fl_routing::call_announcements::{AnnouncementBudget, is_worth_announcing};
+use fl_routing::peer_loads::{AnnouncedCall, InFlightLoad, PeerLoads};
 use fl_routing::placement::{Candidate, PlacementRequest, PrefillRate, ServerLoad, place};
 use fl_routing::rendezvous::name_hash;
 use fl_routing::report_rounds::ReportRounds;
@@ -31,6 +32,8 @@
 
 const SLOTS: u32 = 12;
 const PREFILL_TOKENS_PER_MS: f64 = 64.0;
+/// The shortest declared target of a first token.
+const SHORTEST_TARGET: Duration = Duration::from_millis(500);
 /// Calls a second for each server.
 const SHORT_CALLS_PER_S: f64 = 4.6;
 const LONG_CALLS_PER_S: f64 = 1.3;
@@ -83,6 +86,9 @@
     peers: PeerLoads,
     heard_at: Vec<Duration>,
     rounds: ReportRounds,
+    started_at: Duration,
+    reports: u64,
+    announcements: AnnouncementBudget,
 }
 
 struct Fleet {
@@ -114,12 +120,19 @@
             peers: PeerLoads::default(),
             heard_at: vec![now; nodes],
             rounds: ReportRounds::default(),
+            started_at: now,
+            reports: 0,
+            announcements: AnnouncementBudget::default(),
         }
     }
 
-    fn load(&self, server: usize) -> ServerLoad {
+    fn last_report(&self) -> (u64, u64) {
+        (self.started_at.as_millis() as u64, self.reports)
+    }
+
+    fn load(&self, server: usize, now: Duration, rate: PrefillRate) -> ServerLoad {
         let mut load = self.own[server];
-        load.add(&self.peers.at_server(load.name_hash));
+        load.add(&self.peers.at_server(load.name_hash, now, rate));
         ServerLoad {
             in_flight: load.in_flight,
             pending_prefill_tokens: load.pending_prefill_tokens,
@@ -212,7 +225,7 @@
     }
 
     fn is_cut(&self, node: usize) -> bool {
-        node % 6 == 0 && (CUT[0]..CUT[1]).contains(&self.now)
+        node.is_multiple_of(6) && (CUT[0]..CUT[1]).contains(&self.now)
     }
 
     fn restart_nodes(&mut self) {
@@ -228,16 +241,17 @@
         let peers = self.nodes.len() - 1;
         if self.nodes[node].rounds.begins_round() {
             self.forget_silent_peers(node);
-            self.nodes[node].peers.sum_up();
         }
         let addresses: Vec<SocketAddr> =
             (0..=peers).filter(|peer| *peer != node).map(address).collect();
         let loads: Vec<InFlightLoad> =
             self.nodes[node].own.iter().filter(|load| load.in_flight > 0).copied().collect();
+        self.nodes[node].reports += 1;
+        let report = self.nodes[node].last_report();
         for receiver in self.nodes[node].rounds.next_receivers(&addresses) {
             let receiver = node_of(receiver);
             if !self.is_cut(node) && !self.is_cut(receiver) {
-                self.nodes[receiver].peers.apply_report(node as u64, loads.clone());
+                self.nodes[receiver].peers.apply_report(node as u64, report, &loads, self.now);
                 self.nodes[receiver].heard_at[node] = self.now;
             }
         }
@@ -272,7 +286,7 @@
             .map(|server| Candidate {
                 entry: &self.entries[server],
                 name_hash: self.hashes[server],
-                load: self.nodes[node].load(server),
+                load: self.nodes[node].load(server, self.now, self.rate),
             })
             .collect();
         let random = &mut self.random;
@@ -280,12 +294,36 @@
         let server = placement.map_or(0, |placement| placement.index);
         self.nodes[node].own[server].begin(tokens, is_short);
         self.calls[index].server = server;
+        self.announce(index);
         match self.servers[server].running < SLOTS {
             true => self.start(index),
             false => self.servers[server].waiting.push(index),
         }
     }
 
+    fn announce(&mut self, index: usize) {
+        let Call { node, tokens, is_short, server, .. } = self.calls[index];
+        let prefill = Duration::from_secs_f64(tokens as f64 / PREFILL_TOKENS_PER_MS / 1e3);
+        let nodes = self.nodes.len();
+        if !is_worth_announcing(prefill, SHORTEST_TARGET)
+            || self.is_cut(node)
+            || !self.nodes[node].announcements.try_take(self.now, nodes)
+        {
+            return;
+        }
+        let call = AnnouncedCall {
+            after_report: self.nodes[node].last_report(),
+            name_hash: self.hashes[server],
+            prefill_tokens: tokens,
+            is_urgent: is_short,
+        };
+        for receiver in (0..nodes).filter(|receiver| *receiver != node) {
+            if !self.is_cut(receiver) {
+                self.nodes[receiver].peers.apply_announcement(node as u64, call, self.now);
+            }
+        }
+    }
+
     fn start(&mut self, index: usize) {
         let call = &self.calls[index];
         let server = &mut self.servers[call.server];
@@ -349,7 +387,8 @@
 fn short_prompts_avoid_long_ones(#[case] nodes: usize, #[case] servers: usize) {
     let mut fleet = Fleet::new(nodes, servers);
     fleet.run();
-    let (in_time, judged) = fleet.count_in_time(|call| call.is_short && call.node % 6 != 0);
+    let (in_time, judged) =
+        fleet.count_in_time(|call| call.is_short && !call.node.is_multiple_of(6));
     assert!(
         in_time * 100 >= judged * IN_TIME_PERCENT,
         "{in_time} of {judged} short calls had their first token in time at {nodes} nodes"
