Count all calls to the store by purpose, in metrics and log lines

Calls for the list of nodes, usage, quarantine and reads of the lease were not counted, so a rise of the calls to the platform could not be followed to its cause.

--- a/crates/fl-forward/src/crash_suspects/stored.rs
+++ b/crates/fl-forward/src/crash_suspects/stored.rs
@@ -47,7 +47,9 @@
 /// Reads all rows and applies them. Returns `None` if the node ends before.
 async fn read_all(node: &Node) -> Option<Vec<StoredSuspect>> {
     loop {
-        if let Ok(rows) = node.platform.store.read_rows(QUARANTINE_TABLE).await {
+        let rows = node.platform.store.read_rows(QUARANTINE_TABLE).await;
+        node.count_store_call("quarantine", rows.is_ok());
+        if let Ok(rows) = rows {
             let known: Vec<Suspect> = rows.iter().filter_map(parse_row).collect();
             merge(node, &known, "store");
             return Some(known);
@@ -93,7 +95,9 @@
 async fn write(node: &Node, suspect: &Suspect) -> Result<(), String> {
     let store = &node.platform.store;
     let key = row_key(suspect.key);
-    let row = store.read_row(QUARANTINE_TABLE, &key).await.map_err(|error| error.to_string())?;
+    let row = store.read_row(QUARANTINE_TABLE, &key).await;
+    node.count_store_call("quarantine", row.is_ok());
+    let row = row.map_err(|error| error.to_string())?;
     if row.as_ref().and_then(parse_row).is_some_and(|known| known.generation >= suspect.generation)
     {
         return Ok(());
@@ -102,6 +106,7 @@
     let value = serde_json::to_string(suspect).map_err(|error| error.to_string())?;
     // Another node may write at the same time; either row quarantines the suspect.
     let written = store.write_row(QUARANTINE_TABLE, &key, &value, expected).await;
+    node.count_store_call("quarantine", written.is_ok());
     written.map(|_| ()).map_err(|error| error.to_string())
 }
 
--- a/crates/fl-forward/src/duties.rs
+++ b/crates/fl-forward/src/duties.rs
@@ -113,9 +113,7 @@
     if node.is_leaving() || !node.is_ready() || node.peers.is_duty_held_by_peer() {
         return LeaseState::Observing(lease);
     }
-    let Ok(row) = node.platform.store.read_row(DUTY_TABLE, LEASE_KEY).await else {
-        return LeaseState::Observing(lease);
-    };
+    let Ok(row) = read_lease(node).await else { return LeaseState::Observing(lease) };
     let lease = lease
         .in_incarnation(boot_time(), store_incarnation(node))
         .observe(boot_time(), row.as_ref().and_then(parse_row));
@@ -191,7 +189,7 @@
     let current = match write_lease(node, &lease_write).await {
         Ok(WriteOutcome::Written(revision)) => Some((revision, lease_write.row.clone())),
         Ok(WriteOutcome::Conflict(row)) => row.as_ref().and_then(parse_row),
-        Err(_) => match node.platform.store.read_row(DUTY_TABLE, LEASE_KEY).await {
+        Err(_) => match read_lease(node).await {
             Ok(row) => row.as_ref().and_then(parse_row),
             Err(_) => return LeaseState::Holding(lease),
         },
@@ -229,6 +227,12 @@
     lease.into_observed(boot_time(), row)
 }
 
+async fn read_lease(node: &Node) -> Result<Option<StoredRow>, PlatformError> {
+    let result = node.platform.store.read_row(DUTY_TABLE, LEASE_KEY).await;
+    node.count_store_call("lease", result.is_ok());
+    result
+}
+
 async fn write_lease(node: &Node, lease_write: &LeaseWrite) -> Result<WriteOutcome, PlatformError> {
     let value = serde_json::to_string(&lease_write.row)
         .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
--- a/crates/fl-forward/src/duties/usage_reports.rs
+++ b/crates/fl-forward/src/duties/usage_reports.rs
@@ -63,7 +63,9 @@
     fencing: u64,
     own_last: Option<(WindowCounts, bool)>,
 ) -> Result<ReportState, PlatformError> {
-    let row = node.platform.store.read_row(DUTY_TABLE, USAGE_KEY).await?;
+    let read = node.platform.store.read_row(DUTY_TABLE, USAGE_KEY).await;
+    node.count_store_call("usage", read.is_ok());
+    let row = read?;
     let revision = row.as_ref().map_or(0, |row| row.revision);
     let stored: Option<WindowCounts> = match &row {
         None => None,
@@ -140,6 +142,7 @@
         .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
     let expected = reports.last.as_ref().map_or(0, |last| last.revision);
     let written = node.platform.store.write_row(DUTY_TABLE, USAGE_KEY, &value, expected).await;
+    node.count_store_call("usage", written.is_ok());
     match written {
         Ok(WriteOutcome::Written(revision)) => {
             reports.last = Some(StoredReport { report, revision });
--- a/crates/fl-forward/src/lib.rs
+++ b/crates/fl-forward/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod servers;
 pub mod shared_reads;
 pub mod sse;
+pub mod store_calls;
 pub mod stream_origins;
 pub mod usage;
 
--- a/crates/fl-forward/src/node.rs
+++ b/crates/fl-forward/src/node.rs
@@ -7,12 +7,13 @@
 use crate::duties::DutyLeaseState;
 use crate::links::NodeLinks;
 use crate::log::Log;
-use crate::log::event::StoreIncarnationSeen;
+use crate::log::event::{StoreCallsCounted, StoreIncarnationSeen};
 use crate::peers::Peers;
 use crate::retry_budget::RetryBudgets;
 use crate::route_table::ActiveRouteTable;
 use crate::servers::Servers;
 use crate::shared_reads::ReadIntervals;
+use crate::store_calls::{PurposeCalls, StoreCalls};
 use crate::stream_origins::NodeStreamOrigins;
 use crate::usage::UsageCounts;
 use fl_kernel::forward::{CallCodec, ForwardSettings, PlatformDuties, PlatformStore};
@@ -82,6 +83,7 @@
     leaving: AtomicBool,
     active_calls: AtomicUsize,
     incarnation: Mutex<SeenIncarnation>,
+    store_calls: StoreCalls,
 }
 
 /// The incarnation of the store as this node has seen it.
@@ -122,6 +124,7 @@
             leaving: AtomicBool::new(false),
             active_calls: AtomicUsize::new(0),
             incarnation: Mutex::default(),
+            store_calls: StoreCalls::default(),
         }
     }
 
@@ -146,6 +149,10 @@
         let result = if is_ok { "ok" } else { "failed" };
         let labels = [("purpose", purpose), ("result", result)];
         metrics::counter!("fl_store_calls_total", &labels).increment(1);
+        let Some(counted) = self.store_calls.count(purpose, is_ok) else { return };
+        let over_ms = boot_time().saturating_sub(counted.since).as_millis() as u64;
+        let PurposeCalls { purpose, calls, failed, .. } = counted;
+        self.log.write(&StoreCallsCounted { purpose, calls, failed, over_ms });
     }
 
     /// Notes the store's incarnation of a response, and logs a new one.
--- a/crates/fl-forward/src/peers/discovery.rs
+++ b/crates/fl-forward/src/peers/discovery.rs
@@ -57,9 +57,12 @@
     let vm = &node.settings.vm;
     if revision.is_none() {
         let address = node.settings.peer_address.to_string();
-        let known = store.read_row(NODE_TABLE, vm).await.map_err(|error| error.to_string())?;
+        let known = store.read_row(NODE_TABLE, vm).await;
+        node.count_store_call("nodes", known.is_ok());
+        let known = known.map_err(|error| error.to_string())?;
         let expected = known.map_or(0, |row| row.revision);
         let written = store.write_row(NODE_TABLE, vm, &address, expected).await;
+        node.count_store_call("nodes", written.is_ok());
         match written.map_err(|error| error.to_string())? {
             WriteOutcome::Written(written) => *revision = Some(written),
             WriteOutcome::Conflict(_) => {
@@ -70,7 +73,9 @@
             }
         }
     }
-    let rows = store.read_rows(NODE_TABLE).await.map_err(|error| error.to_string())?;
+    let rows = store.read_rows(NODE_TABLE).await;
+    node.count_store_call("nodes", rows.is_ok());
+    let rows = rows.map_err(|error| error.to_string())?;
     if !rows.iter().any(|row| row.key == *vm) {
         *revision = None;
         return Err("the row of this node is lost; it is written again".to_string());
