Show orders that are sent after their lease has ended

Three nodes with a slow API for duties and a lease of 1 s give orders with interleaved fencing tokens (1, 1, 1, 1, 1, 2, 1, 2, 1, 2, 1, 3, ...). Where the platform does not check tokens, an old order then takes effect after a newer one.

--- a/crates/fl-forward/tests/support/node.rs
+++ b/crates/fl-forward/tests/support/node.rs
@@ -9,9 +9,9 @@
 use fl_forward::log::Log;
 use fl_forward::{Node, PlatformAdapters};
 use fl_kernel::forward::{
-    CallCodec, ForwardBounds, ForwardSettings, InvalidCall, PlatformError, PlatformStore, Refusal,
-    ResponseHead, RouteTableRead, RouteTableResponse, SendOptions, ServerList, StoreRevision,
-    StoredRow, WriteOutcome,
+    CallCodec, ForwardBounds, ForwardSettings, InvalidCall, PlatformDuties, PlatformError,
+    PlatformStore, Refusal, ResponseHead, RouteTableRead, RouteTableResponse, SendOptions,
+    ServerList, StoreRevision, StoredRow, WriteOutcome,
 };
 use fl_protocol::forward::{CallHead, ResponseNotices, ServerEntry, ServerState, StoreVersion};
 use http::{HeaderMap, Request, request, response};
@@ -93,9 +93,18 @@
 
 /// Creates a node like [`node`], with any store.
 pub fn node_with_store(name: &str, store: Arc<dyn PlatformStore>) -> Node {
-    let log = Log::to_stdout(name, "zone-a").expect("a log");
-    let platform = PlatformAdapters { codec: Arc::new(StubCodec), store, duties: None };
-    Node::new(settings(name), platform, log)
+    node_with_adapters(settings(name), store, None)
+}
+
+/// Creates a node with any settings, store and API for duties.
+pub fn node_with_adapters(
+    settings: ForwardSettings,
+    store: Arc<dyn PlatformStore>,
+    duties: Option<Arc<dyn PlatformDuties>>,
+) -> Node {
+    let log = Log::to_stdout(&settings.vm, "zone-a").expect("a log");
+    let platform = PlatformAdapters { codec: Arc::new(StubCodec), store, duties };
+    Node::new(settings, platform, log)
 }
 
 /// A store that always returns the same list of servers, counts these reads and refuses every other
