Ask for the lease before each call of a duty

With an API for duties that takes 450 ms an order and a lease of 1 s, three nodes gave orders at the same time; where the platform checks no fencing token (fencingEnforced = false), an old order took effect after a newer one.

Cause: the lease was checked once before all calls of a round and renewed after them, so a round of slow calls outlasted it. Now each call asks first; the holder renews between calls when that is due, and stops a tenth of the term before its end if it cannot. Orders sent longest ago go first: in a fixed sequence the last data centres got none while the platform was slow.

--- a/crates/fl-fleet/src/lease.rs
+++ b/crates/fl-fleet/src/lease.rs
@@ -14,6 +14,8 @@
 const DRIFT_DIVISOR: u32 = 10;
 /// Bits of a fencing token that count the holders within one incarnation of the store.
 const FENCING_BITS: u32 = 32;
+/// Time before the end of a term in which no order is sent, as a divisor of the term.
+const SEND_MARGIN_DIVISOR: u32 = 10;
 /// Number of renewals in one term; more than one, so that a lost renewal does not end the lease.
 const RENEWALS_PER_TERM: u32 = 3;
 
@@ -166,8 +168,24 @@
 
     /// Returns whether the lease should be renewed now.
     pub fn is_renewal_due(&self, now: Duration) -> bool {
+        now >= self.renewal_due_at()
+    }
+
+    /// Returns the time until which orders may be sent.
+    ///
+    /// A holder that can renew its lease gives orders until the renewal is due, so that it renews
+    /// between two orders. One whose renewal is overdue stops early enough for the last order to
+    /// arrive before a peer may acquire the lease.
+    pub fn sends_until(&self, now: Duration) -> Duration {
+        match self.is_renewal_due(now) {
+            false => self.renewal_due_at(),
+            true => self.state.valid_until.saturating_sub(self.term / SEND_MARGIN_DIVISOR),
+        }
+    }
+
+    fn renewal_due_at(&self) -> Duration {
         let margin = self.term * (RENEWALS_PER_TERM - 1) / RENEWALS_PER_TERM;
-        now + margin >= self.state.valid_until
+        self.state.valid_until.saturating_sub(margin)
     }
 
     /// Returns the write that renews the lease.
--- a/crates/fl-forward/src/duties.rs
+++ b/crates/fl-forward/src/duties.rs
@@ -162,7 +162,9 @@
     if is_store_newer(node, lease.incarnation()) {
         return LeaseState::Observing(stop_holding(node, lease, None));
     }
-    let duty_lease = DutyLease { holder: node.settings.vm.clone(), fencing };
+    let holder = node.settings.vm.clone();
+    let sends_until = lease.sends_until(boot_time());
+    let duty_lease = DutyLease { holder, fencing, sends_until };
     if let Err(PlatformError::StaleFencingToken) = work.perform(node, &duty_lease).await {
         return LeaseState::Observing(stop_holding(node, lease, None));
     }
@@ -187,13 +189,16 @@
 }
 
 /// Logs a failed duty. Returns an error only if a greater fencing token was seen, which ends the
-/// holder's work.
+/// holder's work. A duty that waits for the lease's renewal has not failed.
 fn log_failure(
     node: &Node,
     duty: &'static str,
     result: Result<(), PlatformError>,
 ) -> Result<(), PlatformError> {
     let Err(error) = result else { return Ok(()) };
+    if error == PlatformError::LeaseEnding {
+        return Ok(());
+    }
     node.log.write(&DutyFailed { duty, error: error.to_string() });
     if error == PlatformError::StaleFencingToken { Err(error) } else { Ok(()) }
 }
--- a/crates/fl-forward/src/duties/scaling.rs
+++ b/crates/fl-forward/src/duties/scaling.rs
@@ -152,12 +152,11 @@
         if !has_enough_history {
             keep_present_servers(&mut planned, &zones, !node.settings.is_first_start);
         }
-        for (order, fleet) in planned.iter().zip(&zones) {
-            for required in required_orders(&service.name, order, fleet, all_registered) {
-                if state.is_due(&required, scaling) {
-                    state.send_order(node, duty_lease, required, need).await?;
-                }
-            }
+        let required_orders = planned.iter().zip(&zones).flat_map(|(order, fleet)| {
+            required_orders(&service.name, order, fleet, all_registered)
+        });
+        for required in state.due_orders(required_orders, scaling) {
+            state.send_order(node, duty_lease, required, need).await?;
         }
     }
     Ok(())
@@ -205,17 +204,34 @@
 }
 
 impl ServiceState {
+    /// Returns the orders that have to be sent, those first that were sent longest ago or never. While
+    /// the platform is slow, some are sent before the lease has to be renewed, and the next time
+    /// others have their turn.
+    fn due_orders(
+        &self,
+        required_orders: impl Iterator<Item = RequiredOrder>,
+        scaling: &ScalingConfig,
+    ) -> Vec<RequiredOrder> {
+        let mut due: Vec<RequiredOrder> =
+            required_orders.filter(|required| self.is_due(required, scaling)).collect();
+        due.sort_by_key(|required| self.last_sent(&required.order).map(|last| last.sent_at));
+        due
+    }
+
+    /// Returns the last order for the same data centre and kind of server.
+    fn last_sent(&self, order: &FleetOrder) -> Option<&SentOrder> {
+        let same_target = |sent_order: &&SentOrder| {
+            sent_order.order.zone == order.zone && sent_order.order.reclaimable == order.reclaimable
+        };
+        self.sent_orders.iter().find(same_target)
+    }
+
     /// Returns whether an order has to be sent: it differs from the last one, or the last one was
     /// not filled.
     fn is_due(&self, required: &RequiredOrder, scaling: &ScalingConfig) -> bool {
         let now = boot_time();
         let RequiredOrder { order, present } = required;
-        let same_target = |sent_order: &&SentOrder| {
-            sent_order.order.zone == order.zone && sent_order.order.reclaimable == order.reclaimable
-        };
-        let Some(last) = self.sent_orders.iter().find(same_target) else {
-            return order.servers != *present;
-        };
+        let Some(last) = self.last_sent(order) else { return order.servers != *present };
         let age = now.saturating_sub(last.sent_at);
         match last.outcome {
             Some(OrderOutcome::Declined) => order.servers != *present && age >= DECLINED_DELAY,
@@ -236,6 +252,7 @@
     ) -> Result<(), PlatformError> {
         let RequiredOrder { order, present } = required;
         let Some(duties) = &node.platform.duties else { return Ok(()) };
+        duty_lease.check(boot_time())?;
         let sent = duties.order_servers(duty_lease, &order).await;
         let outcome = match &sent {
             Ok(OrderOutcome::Accepted) => "taken".to_string(),
--- a/crates/fl-forward/src/duties/usage_reports.rs
+++ b/crates/fl-forward/src/duties/usage_reports.rs
@@ -165,6 +165,7 @@
 ) -> Result<(), PlatformError> {
     let (Some(duties), Some(last)) = (&node.platform.duties, &reports.last) else { return Ok(()) };
     let report = &last.report;
+    duty_lease.check(boot_time())?;
     let sent = duties.report_usage(duty_lease, report.window, &report.counts).await;
     let calls = report.counts.iter().map(|(_, calls)| calls).sum();
     let outcome = if sent.is_ok() { "accepted" } else { "not accepted" };
--- a/crates/fl-kernel/src/forward.rs
+++ b/crates/fl-kernel/src/forward.rs
@@ -31,6 +31,8 @@
     HistoryGone,
     /// the platform has seen a greater fencing token; another node holds the lease
     StaleFencingToken,
+    /// the lease of the duties ends soon; it is renewed before further calls
+    LeaseEnding,
     /// the platform's response cannot be parsed: {0}; the last known state stays in use
     Unreadable(String),
 }
@@ -128,6 +130,20 @@
     pub holder: VmName,
     /// Fencing token of the lease; each later holder has a greater one.
     pub fencing: FencingToken,
+    /// Boot time until which calls may be sent. After that the holder renews the lease first.
+    pub sends_until: Duration,
+}
+
+impl DutyLease {
+    /// Returns an error if no call may be sent at `now`, a boot time. Checked before each call, since
+    /// the calls before it may have taken long.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformError::LeaseEnding`] from [`DutyLease::sends_until`] on.
+    pub fn check(&self, now: Duration) -> Result<(), PlatformError> {
+        if now < self.sends_until { Ok(()) } else { Err(PlatformError::LeaseEnding) }
+    }
 }
 
 /// Order that sets the number of backend servers of a service in one data centre.
