Bound the reads of the list of nodes by the fleet, not by the node

All nodes together read it twice a second at the most now. A node that hears few others, since it was cut off for long, still finds them within 20 s, and they hear of it by its datagrams.

list_reads_bounded fails with the former interval (4.1, 13 and 22.7 reads a second at 61, 195 and 340 nodes).

--- a/crates/fl-forward/src/peers/discovery.rs
+++ b/crates/fl-forward/src/peers/discovery.rs
@@ -4,6 +4,7 @@
 use crate::node::Node;
 use crate::shared_reads::retry_pause;
 use fl_kernel::forward::{StoreRevision, WriteOutcome};
+use fl_routing::store_readers::list_interval;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,8 +13,6 @@
 /// Pause of a node that reads the store for others after a failed call, and between two looks at
 /// the store's incarnation.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Interval of reads of the list of nodes, to find those whose datagrams never arrived.
-const DISCOVERY_INTERVAL: Duration = Duration::from_secs(15);
 
 /// Registers this node in the store and adds the nodes registered there, until the node ends.
 pub async fn discover(node: Arc<Node>) {
@@ -23,7 +22,7 @@
         let delay = match register_and_read(&node, &mut revision).await {
             Ok(()) => {
                 failures = 0;
-                DISCOVERY_INTERVAL
+                list_interval(1 + node.peers.reporting_addresses().len())
             }
             Err(error) => {
                 if failures == 0 {
--- a/crates/fl-routing/src/store_readers.rs
+++ b/crates/fl-routing/src/store_readers.rs
@@ -8,6 +8,7 @@
 use crate::rendezvous::rank;
 use fl_protocol::hash64;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Number of nodes per reader. Each of them sends three queries per second, a small load for the
 /// reader.
@@ -15,6 +16,20 @@
 /// Key for rendezvous hashing by which nodes are ranked as readers.
 const READER_KEY: u64 = 0;
 
+/// Shortest interval at which a node reads the list of nodes, to find those whose datagrams never
+/// arrived.
+const LIST_INTERVAL_MIN: Duration = Duration::from_secs(15);
+/// Reads of the list of nodes per second that all nodes make together in a large fleet.
+const LIST_READS_PER_S: f64 = 2.0;
+
+/// Returns the interval at which each of `nodes` nodes that hear each other reads the list of nodes.
+///
+/// A node that is cut off from most of a large fleet hears few, so it soon finds the others again,
+/// and they hear of it by its datagrams.
+pub fn list_interval(nodes: usize) -> Duration {
+    LIST_INTERVAL_MIN.max(Duration::from_secs_f64(nodes as f64 / LIST_READS_PER_S))
+}
+
 /// Returns the node that `own` queries, or `None` if `own` reads the store itself.
 ///
 /// `fresh_peers` are the peers that were heard from recently and whose copy of the rows is current.
--- a/crates/fl-routing/tests/store_readers.rs
+++ b/crates/fl-routing/tests/store_readers.rs
@@ -1,6 +1,6 @@
 //! Tests the assignment of the nodes that read the store for the others.
 
-use fl_routing::store_readers::assigned_reader;
+use fl_routing::store_readers::{assigned_reader, list_interval};
 use rstest::rstest;
 use std::net::SocketAddr;
 
@@ -56,3 +56,16 @@
 fn isolated_node_reads_itself() {
     assert_eq!(assigned_reader(address(0), &[]), None, "no peer has a current copy");
 }
+
+/// Guards against reads of the list of nodes that grow with the fleet: each node read it every 15 s.
+#[rstest]
+fn list_reads_bounded(#[values(6, 61, 195, 340)] nodes: usize) {
+    let reads_per_s = nodes as f64 / list_interval(nodes).as_secs_f64();
+    assert!(reads_per_s <= 2.0, "{reads_per_s:.1} reads a second of {nodes} nodes");
+}
+
+/// A node that hears few others, after it was cut off for long, finds them within 20 s.
+#[test]
+fn cut_off_nodes_read_soon() {
+    assert!(list_interval(39) <= std::time::Duration::from_secs(20));
+}
