End a node's pause when a newer version of the table is known

Cause: the shared budget of retries gives long pauses, and the pause of the table's reads did not end when a peer reported a newer version. It does now, and an eighth of the propagation bound later the node reads the version itself.

--- a/crates/fl-forward/src/route_table/reads.rs
+++ b/crates/fl-forward/src/route_table/reads.rs
@@ -24,8 +24,8 @@
 const HISTORY_GONE_DELAY: Duration = Duration::from_millis(100);
 /// Pause of a node that reads for others after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
-/// Longest pause while a peer knows a newer version, as a divisor of the propagation bound.
-const NEWER_VERSION_DIVISOR: u32 = 2;
+/// Longest pause once a peer knows a newer version, as a divisor of the propagation bound.
+const NEWER_VERSION_DIVISOR: u32 = 8;
 
 /// Keeps the route table up to date until the node ends.
 pub async fn watch(node: Arc<Node>) {
@@ -181,19 +181,26 @@
             }
             Err(error) => {
                 let failures = self.note_failure(error.to_string(), started_at);
-                tokio::time::sleep(self.retry_pause(failures)).await;
+                self.pause(failures).await;
             }
         }
     }
 
-    /// Returns the pause after a failed read. It stays below the propagation bound while a peer
-    /// knows a newer version, as every node reads that one itself.
-    fn retry_pause(&self, failures: u32) -> Duration {
+    /// Pauses after a failed read. The pause is short once a peer knows a newer version, also if
+    /// that is heard meanwhile, as every node reads that version itself.
+    async fn pause(&self, failures: u32) {
         let node = self.node;
         let pause = retry_pause(node, RETRY_DELAY, failures);
-        match node.route_table.is_newest_known() {
-            true => pause,
-            false => pause.min(node.settings.bounds.propagation_delay / NEWER_VERSION_DIVISOR),
+        let short_pause = node.settings.bounds.propagation_delay / NEWER_VERSION_DIVISOR;
+        let newer_version = async {
+            if node.route_table.is_newest_known() {
+                node.route_table.wait_for_newer_version().await;
+            }
+            tokio::time::sleep(pause.min(short_pause)).await;
+        };
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = newer_version => {}
         }
     }
 
