--- a/crates/fl-forward/src/servers.rs
+++ b/crates/fl-forward/src/servers.rs
@@ -2,6 +2,7 @@
 //! failures.
 
 mod brittle;
+mod demand;
 mod known_server;
 mod load;
 mod notices;
@@ -195,31 +196,6 @@
         loaded.map(|known| known.own).collect()
     }
 
-    /// Returns the prompt tokens that this node sent for prefill since its start, by service.
-    pub fn demand_by_service(&self) -> Vec<(ServiceName, u64)> {
-        self.state.lock().demand.clone()
-    }
-
-    /// Returns the prompt tokens that this node sent to a service for prefill since its start.
-    pub fn demand(&self, service: &str) -> u64 {
-        let state = self.state.lock();
-        let index = state.demand.binary_search_by(|(name, _)| name.as_str().cmp(service));
-        index.map_or(0, |index| state.demand[index].1)
-    }
-
-    /// Returns how many servers of a service the calls in flight of all nodes occupy. Each server
-    /// counts with the share of its slots that is in use.
-    pub fn occupied_servers(&self, service: &str) -> f64 {
-        let now = boot_time();
-        let state = self.state.lock();
-        let of_service = state.usable().filter(|entry| entry.service == service);
-        let occupied_shares = of_service.map(|entry| {
-            let in_flight = state.candidate(entry, now).load.in_flight;
-            f64::from(in_flight) / f64::from(entry.slots.max(1))
-        });
-        occupied_shares.sum()
-    }
-
     /// Returns the estimate of the rate at which servers prefill prompts.
     pub fn prefill_rate(&self) -> PrefillRate {
         self.state.lock().prefill_rate
@@ -244,14 +220,6 @@
         self.with_known(server, |known| known.record_failure(boot_time()));
     }
 
-    fn record_demand(&self, service: &str, tokens: u64) {
-        let mut state = self.state.lock();
-        match state.demand.binary_search_by(|(name, _)| name.as_str().cmp(service)) {
-            Ok(index) => state.demand[index].1 += tokens,
-            Err(index) => state.demand.insert(index, (service.to_string(), tokens)),
-        }
-    }
-
     /// Calls `update` on what is known of a server; does nothing if it is not known.
     fn with_known(&self, server: &str, update: impl FnOnce(&mut KnownServer)) {
         let mut state = self.state.lock();
