Keep a crashing content quarantined when its prompt part explains as much

Cause: of suspects that explain equally many crashes none was held before one crash more than the first of them needs. Three crashes hold a content, four a part; at the fourth both explained as many, and both were let through. Each suspect is held now once the crashes exceed what it needs itself.

content_stays_quarantined failed after four crashes and passes. Ruled out: lost messages (all nodes agreed), answers that cleared it (the first came later).

--- a/crates/fl-routing/src/crash_suspects.rs
+++ b/crates/fl-routing/src/crash_suspects.rs
@@ -206,7 +206,7 @@
     /// are enough of them.
     ///
     /// Suspects that were never answered and explain equally many cannot be told apart. One more
-    /// crash than usual gives a sound one the time to be answered; then all of them are returned.
+    /// crash than usual gives a sound one the time to be answered; then it is returned too.
     fn next_culprits(
         &self,
         judged: &[SuspectKey],
@@ -226,8 +226,10 @@
         let is_like_first =
             |culprit: &Culprit| culprit.crashes == crashes && culprit.last_success == last_success;
         culprits.retain(is_like_first);
-        let is_clear = culprits.len() == 1 || crashes > culprits[0].key.crashes_to_quarantine();
-        is_clear.then_some(culprits)
+        if culprits.len() > 1 {
+            culprits.retain(|culprit| crashes > culprit.key.crashes_to_quarantine());
+        }
+        (!culprits.is_empty()).then_some(culprits)
     }
 
     fn culprit(&self, suspect: &Suspect, explained: &[InstanceHash]) -> Culprit {
--- a/crates/fl-routing/tests/crash_suspects.rs
+++ b/crates/fl-routing/tests/crash_suspects.rs
@@ -42,6 +42,27 @@
     assert_eq!(suspects.quarantined(&[SOUND, key]), Some(key));
 }
 
+/// Guards against a content that is let through again by one more crash: with four, its prompt part
+/// explains as many, and neither could be told from the other.
+#[test]
+fn content_stays_quarantined() {
+    let content = SuspectKey::Content(7);
+    for crashes in 3..=8 {
+        let mut suspects = new_set();
+        crash_servers(&mut suspects, &[content, CRASHING], crashes);
+        assert_eq!(suspects.quarantined(&[content]), Some(content), "after {crashes} crashes");
+    }
+}
+
+/// One crash more than a content needs says nothing of its prompt part, whose other calls may be
+/// sound.
+#[test]
+fn part_of_crashing_content_not_blamed() {
+    let mut suspects = new_set();
+    crash_servers(&mut suspects, &[SuspectKey::Content(7), SOUND], 4);
+    assert_eq!(suspects.quarantined(&[SOUND]), None);
+}
+
 #[test]
 fn answered_part_not_blamed() {
     let mut suspects = new_set();
