--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,13 +1,13 @@
-"""LOST: after all machines but one lost their processes at the same moment, the one that ran on
-refuses most streams that callers take up again, although nothing else is amiss.
+"""ONE: after all machines lost power while the store failed over to an older copy, the new holder of
+the duty reports a window again that the platform has accepted, with other counts.
 
-Twelve nodes in three zones serve a route whose streams may be resumed and whose traffic is split
-between two services, as operators may write it. Each of eleven nodes holds four streams when it is
-killed. Their callers take the streams up at the node that is left, while others begin new streams
-there.
+The store is copied ten times a second. Right after the platform has accepted the report of a window,
+all processes are killed and the store goes away for a second; it comes back from a copy that is about
+two seconds old. The processes start again 0.7 s after the kill.
 """
 
 import asyncio
+import json
 import signal
 import sys
 from pathlib import Path
@@ -15,73 +15,88 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
-from deployment import has_trouble, route, run_case  # noqa: E402
-from streams import Stream  # noqa: E402
+from deployment import call, has_trouble, manifest, run_case  # noqa: E402
 
-NODES = 12
-STREAMS_PER_NODE = 4
-NEW_STREAMS = 20
-EVENTS = 50
-GAP_S = 0.15
-SETTLE_S = 6
-KILL_AFTER_S = 2
-# Tries of a caller to take a stream up, each after the time that `Retry-After` states.
-TAKE_UPS = 3
-STREAMS_MIN = 12
+COPY_AGE_S = 2.0
+AWAY_S = 1.0
+RESTART_S = 0.7
+# Windows of 5 s that are reported before the drill.
+WINDOWS_BEFORE = 2
 
 
-def routes():
-    split = [{"service": "models", "weight": 90}, {"service": "models-next", "weight": 10}]
-    plan = route("plan", "streaming", "models", maxAttempts=2, streamResumption=True, gapAimMs=400,
-                 sessionAffinity=True, trafficSplit=split)
-    del plan["service"]
-    return [plan, route("look", "idempotent", "bookings", maxAttempts=2)]
+async def send_calls(deployment, until):
+    """Sends ten lookups a second to the nodes in turn."""
+    number = 0
+    while not until.is_set():
+        node = deployment.nodes[number % len(deployment.nodes)]
+        number += 1
+        try:
+            answer = await call(node.callers, "GET", f"/look/{number}", f"look-{number}")
+            deployment.record.line(f"caller: look-{number} to {node.name}: {answer.status}")
+        except (OSError, EOFError, asyncio.TimeoutError) as error:
+            deployment.record.line(f"caller: look-{number} to {node.name}: {error!r}")
+        await asyncio.sleep(0.1)
 
 
-async def take_up(stream, address):
-    for number in range(1, 1 + TAKE_UPS):
-        if await stream.attempt(address, number):
-            return True
-        await asyncio.sleep(stream.retry_after_s)
-    return False
+async def keep_copies(store, copies):
+    loop = asyncio.get_running_loop()
+    while True:
+        copies.append((loop.time(), store.copy()))
+        await asyncio.sleep(0.1)
+
+
+async def drill(deployment, copies):
+    store, nodes = deployment.store, deployment.nodes
+    copy_at = asyncio.get_running_loop().time() - COPY_AGE_S
+    older = [copy for taken_at, copy in copies if taken_at <= copy_at]
+    deployment.record.line("drill: the store goes away; all processes are killed")
+    store.go_away()
+    for node in nodes:
+        node.signal(signal.SIGKILL)
+    for node in nodes:
+        node.kill()
+    await asyncio.sleep(RESTART_S)
+    for node in nodes:
+        node.start()
+    await asyncio.sleep(AWAY_S - RESTART_S)
+    await store.come_back(older[-1])
+    await store.put("op", "config", deployment.manifest)
+    deployment.record.line(f"drill: the store is back, era {store.era}")
+
+
+def differing_reports(usage):
+    """Returns the windows for which two reports with different counts were accepted."""
+    violations = []
+    first = {}
+    for window, counts, holder, token in usage:
+        known = first.setdefault(window, (counts, holder, token))
+        if known[0] != counts:
+            violations.append(
+                f"ONE: window {window} was accepted of {known[1]} (token {known[2]}) with {known[0]}"
+                f" and of {holder} (token {token}) with {counts}"
+            )
+    return violations
 
 
 async def case(deployment):
-    options = {"events": EVENTS, "gap_s": GAP_S, "slots": 64}
-    servers = [("models", options)] * 3 + [("models-next", options)] * 3 + [("bookings", {})]
-    await deployment.start(node_count=NODES, servers=servers, routes=routes())
-    await asyncio.sleep(SETTLE_S)
-    survivor, others = deployment.nodes[0], deployment.nodes[1:]
-    begun = [
-        (Stream(deployment, f"{node.name}-{index}"), node)
-        for node in others
-        for index in range(STREAMS_PER_NODE)
-    ]
-    tasks = [asyncio.create_task(stream.attempt(node.callers, 0)) for stream, node in begun]
-    await asyncio.sleep(KILL_AFTER_S)
+    await deployment.start(node_count=3, servers=[("bookings", {})] * 3)
+    deployment.manifest = json.dumps(manifest(1)).encode()
+    copies, done = [], asyncio.Event()
+    keeping = asyncio.create_task(keep_copies(deployment.store, copies))
+    calling = asyncio.create_task(send_calls(deployment, done))
+
+    async def reported():
+        with_counts = [window for window, counts, *_ in deployment.cloud.usage if counts]
+        return len(set(with_counts)) > WINDOWS_BEFORE
+
+    await deployment.wait_until("usage is reported", reported, 40)
     if has_trouble():
-        for node in others:
-            node.signal(signal.SIGKILL)
-        for node in others:
-            node.kill()
-    await asyncio.sleep(0.2)
-    new = [Stream(deployment, f"new-{index}") for index in range(NEW_STREAMS)]
-    new_tasks = [asyncio.create_task(stream.attempt(survivor.callers, 0)) for stream in new]
-    await asyncio.gather(*tasks)
-    broken = [
-        stream for stream, _ in begun if not stream.is_whole and stream.last_event is not None
-    ]
-    went_on = await asyncio.gather(*(take_up(stream, survivor.callers) for stream in broken))
-    new_begun = await asyncio.gather(*new_tasks)
-    deployment.record.line(
-        f"{sum(went_on)} of {len(broken)} streams went on, {sum(new_begun)} of {len(new)} began"
-    )
-    if len(broken) < STREAMS_MIN or 2 * sum(went_on) * len(new) >= sum(new_begun) * len(broken):
-        return []
-    return [
-        f"LOST: {sum(went_on)} of {len(broken)} streams that callers took up again went on, while"
-        f" {sum(new_begun)} of {len(new)} new ones began"
-    ]
+        await drill(deployment, copies)
+    await asyncio.sleep(20)
+    done.set()
+    await calling
+    keeping.cancel()
+    return differing_reports(deployment.cloud.usage)
 
 
 run_case(FOLDER, case)
