--- a/review/lib/streams.py
+++ b/review/lib/streams.py
@@ -1,6 +1,7 @@
 """A caller's stream over all its attempts."""
 
 import asyncio
+import zlib
 
 from deployment import request_bytes
 from http_io import read_chunks, read_head
@@ -20,7 +21,7 @@
         """Sends an attempt; returns whether the stream began or went on."""
         attempt = f"{self.name}.{number}"
         headers = [("x-model", "m"), ("x-token-usage", "1460,320"),
-                   ("x-prompt-prefix", f"5c1e07a2:800,{abs(hash(self.name)) % 16**8:08x}:660")]
+                   ("x-prompt-prefix", f"5c1e07a2:800,{zlib.crc32(self.name.encode()):08x}:660")]
         if self.last_event is not None:
             headers += [("last-event-id", self.last_event), ("resumes", f"{self.name}.0")]
         before = len(self.texts)
