Store the origin of each stream that cannot be derived

Callers saw: after a planned restart of three nodes, one each second, 0 of 16 streams of a split route went on, each refused with 503 "no node knows what began the stream", while 16 of 16 new ones began. The same for a route of one service in the first 30 s of a system or after any change of routes, and after eleven of twelve nodes were killed.

Cause: an origin was stored if a service had two versions, and derived if the route had one service whose versions and all routes had not changed for 30 s. What met neither condition was in the memory of one node in each data centre alone. Ruled out: unreachable servers (new streams began there), rows that were not read (the store held none).

Change: what is stored is exactly what cannot be derived. A change of routes counts only for routes that share paths with it; services of before are possible for 30 s. A system that starts for the first time has no streams of before. Both keep the writes few: a young system with one version still makes one read and one write.

--- a/crates/fl-forward/src/backend_response/relay.rs
+++ b/crates/fl-forward/src/backend_response/relay.rs
@@ -207,7 +207,7 @@
         RelayStep::Event(event.bytes)
     }
 
-    /// Has the origin stored once a service of the route has a second version.
+    /// Has the origin stored once a second one is possible for streams of the route.
     fn store_origin(&mut self) {
         let route = &self.call.admission.route;
         if !self.is_origin_stored && self.node.stream_origins.is_stored(route) {
--- a/crates/fl-forward/src/stream_origins.rs
+++ b/crates/fl-forward/src/stream_origins.rs
@@ -1,8 +1,8 @@
 //! Lets a stream go on only at the software version that began it.
 //!
 //! When a stream begins, one node in each data centre is told its origin; a node at which a caller
-//! takes the stream up asks there. `fl_routing::stream_origins` decides whom. While a service has
-//! several versions, origins are stored as well. See `docs/design/120-stream-origins.md`.
+//! takes the stream up asks there. `fl_routing::stream_origins` decides whom. What cannot be told from the
+//! versions of services and the routes alone is stored as well. See `docs/design/120-stream-origins.md`.
 
 mod stored;
 mod storing;
@@ -22,7 +22,7 @@
 use fl_routing::stream_origins::{
     StreamHash, StreamOrigin, StreamOrigins, holders, queried_nodes, stream_hash,
 };
-use fl_routing::version_history::{Moment, VersionHistory, routes_digest};
+use fl_routing::version_history::{Moment, VersionHistory};
 use http::StatusCode;
 use parking_lot::Mutex;
 use std::time::Duration;
@@ -83,10 +83,8 @@
 
     /// Notes the routes of the table in force.
     pub fn note_routes(&self, table: &RouteTable) {
-        if let Some(digest) = routes_digest(&table.routes) {
-            self.versions.lock().note_routes(digest, now());
-            self.storing.notify();
-        }
+        self.versions.lock().note_routes(&table.routes, now());
+        self.storing.notify();
     }
 
     /// Records what began a stream, as a peer says, and stores it if this node is the writer.
@@ -119,16 +117,20 @@
         self.versions.lock().has_routes()
     }
 
-    /// Returns whether any service had several versions lately.
+    /// Returns whether what begins the streams of any route has to be stored.
     fn is_any_stored(&self) -> bool {
-        self.versions.lock().has_any_several_versions(now())
+        self.versions.lock().has_ambiguous_routes(now())
     }
 
-    /// Returns whether what begins the streams of a route has to be stored: one of its services had
-    /// several versions lately.
+    /// Returns whether what begins the streams of a route has to be stored: a node that starts could
+    /// not tell it from the versions and routes alone.
     pub fn is_stored(&self, route: &Route) -> bool {
-        let versions = self.versions.lock();
-        route.services.iter().any(|(service, _)| versions.has_several_versions(service, now()))
+        self.route_origin(route).is_none()
+    }
+
+    /// Returns the only origin that the streams of a route can have, `None` if there may be several.
+    fn route_origin(&self, route: &Route) -> Option<StreamOrigin> {
+        self.versions.lock().route_origin(route, now())
     }
 }
 
@@ -184,7 +186,7 @@
         Some(attempt) => find_known(origins, peers, stream_hash(attempt), read_timeout).await,
         None => None,
     };
-    let origin = known.or_else(|| only_origin(origins, &admission.route));
+    let origin = known.or_else(|| origins.route_origin(&admission.route));
     let found = if origin.is_some() { "known" } else { "unknown" };
     metrics::counter!("fl_streams_taken_up_total", "origin" => found).increment(1);
     let origin = origin.ok_or_else(|| refuse("no node knows what began the stream"))?;
@@ -244,14 +246,6 @@
     origins.find(stream)
 }
 
-/// Returns the only origin that the streams of a route can have, if its one service had one version
-/// alone.
-fn only_origin(origins: &NodeStreamOrigins, route: &Route) -> Option<StreamOrigin> {
-    let [(service, _)] = &route.services[..] else { return None };
-    let versions = origins.versions.lock();
-    versions.only_origin(service, now()).filter(|_| versions.has_steady_routes(now()))
-}
-
 fn refuse(reason: &'static str) -> Refusal {
     let status = StatusCode::SERVICE_UNAVAILABLE;
     Refusal { status, reason, retry_after: Some(RETRY_AFTER) }
--- a/crates/fl-forward/src/stream_origins/stored.rs
+++ b/crates/fl-forward/src/stream_origins/stored.rs
@@ -128,7 +128,7 @@
     }
 
     /// Takes the streams that have to be stored. Those told by nodes that may know of a second version
-    /// before this one does stay in the queue for a while.
+    /// or another route before this one does stay in the queue for a while.
     fn take_queue(&mut self) {
         if !self.origins.is_any_stored() {
             let kept_ms = LIST_DELAY_MAX.as_millis() as UnixMs;
@@ -165,8 +165,13 @@
         (self.count_call)("streams", rows.is_ok());
         let rows = rows?;
         let moment = moment();
-        if let Some(row) = rows.iter().find(|row| row.key == VERSIONS_KEY) {
-            self.apply_versions(row);
+        match rows.iter().find(|row| row.key == VERSIONS_KEY) {
+            Some(row) => self.apply_versions(row),
+            // No node has written the row, so none has carried a stream.
+            None if self.read_at.is_none() && self.settings.is_first_start => {
+                self.origins.versions.lock().begin_without_streams(moment.now);
+            }
+            None => {}
         }
         let own_prefix = format!("{ORIGINS_PREFIX}{}.", self.settings.zone);
         let mut own_rows = Vec::new();
--- a/crates/fl-forward/tests/stored_origins.rs
+++ b/crates/fl-forward/tests/stored_origins.rs
@@ -103,6 +103,11 @@
 }
 
 fn table() -> RouteTable {
+    table_of(&["model"])
+}
+
+/// Returns a table with one route to services of equal weight.
+fn table_of(services: &[&str]) -> RouteTable {
     let route = Route {
         name: "plan".to_string(),
         host: "desk.example".to_string(),
@@ -111,7 +116,7 @@
         timeout: Duration::from_secs(5),
         latency_target: Duration::from_millis(400),
         priority: 1,
-        services: vec![("model".to_string(), 1)],
+        services: services.iter().map(|service| (service.to_string(), 1)).collect(),
         servers_max: 2,
         anonymous: false,
         resumable: true,
@@ -142,6 +147,10 @@
 ) -> Node {
     let node = node_with_store("node", store.clone());
     node.stream_origins.note_routes(&table());
+    run_node(node, versions, streams, first_alone).await
+}
+
+async fn run_node(node: Node, versions: &[&str], streams: u64, first_alone: Duration) -> Node {
     let begin_streams = async {
         let servers = servers(versions);
         let origin = StreamOrigin::of(&servers[0]);
@@ -183,6 +192,39 @@
     assert_eq!((*store.reads.lock(), *store.writes.lock()), (1, 1));
 }
 
+/// Guards against losing the streams of a route that several services share, each with one version,
+/// when the nodes that know them are restarted.
+#[tokio::test]
+async fn split_route_stored() {
+    let store: Arc<RowStore> = Arc::default();
+    let split = || {
+        let node = node_with_store("node", store.clone());
+        node.stream_origins.note_routes(&table_of(&["model", "other"]));
+        node
+    };
+    run_node(split(), &["v1"], STREAMS, Duration::ZERO).await;
+    let started = run_node(split(), &["v1"], 0, Duration::ZERO).await;
+    let lost = (0..STREAMS).filter(|stream| started.stream_origins.find(*stream).is_none());
+    assert_eq!(lost.count(), 0);
+}
+
+/// Guards against losing the streams that begin while a node does not know yet that a service had one
+/// version alone, as it has found no row of those before it.
+#[tokio::test]
+async fn unknown_history_stored() {
+    let store: Arc<RowStore> = Arc::default();
+    let later = || {
+        let mut node = node_with_store("node", store.clone());
+        node.settings.is_first_start = false;
+        node.stream_origins.note_routes(&table());
+        node
+    };
+    run_node(later(), &["v1"], STREAMS, Duration::ZERO).await;
+    let started = run_node(later(), &["v1"], 0, Duration::ZERO).await;
+    let lost = (0..STREAMS).filter(|stream| started.stream_origins.find(*stream).is_none());
+    assert_eq!(lost.count(), 0);
+}
+
 /// Guards against more writes than a tenth of what the store accepts, and against streams that a node
 /// which starts does not find.
 #[tokio::test]
--- a/crates/fl-routing/src/lib.rs
+++ b/crates/fl-routing/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod rendezvous;
 pub mod report_rounds;
 pub mod rollout;
+pub mod route_history;
 pub mod runner_watch;
 pub mod server_pace;
 pub mod server_speed;
--- a/crates/fl-routing/src/version_history.rs
+++ b/crates/fl-routing/src/version_history.rs
@@ -5,9 +5,10 @@
 //! that any other version would have been seen. The history outlives all nodes in one row of the
 //! store. See `docs/design/120-stream-origins.md`.
 
+use crate::route_history::{RouteHistory, RouteTimes, RoutedService};
 use crate::stream_origins::{StreamOrigin, is_remembered};
 use fl_protocol::forward::{Route, ServerEntry};
-use fl_protocol::{ServiceName, UnixMs, hash64};
+use fl_protocol::{ServiceName, UnixMs};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -62,10 +63,16 @@
     watched_since: Option<Duration>,
     /// When the newest list was noted.
     listed_at: Option<Duration>,
+    /// Whether no stream began before this node started.
+    began_without_streams: bool,
     /// Whether lists did not follow each other closely at some time.
     has_missed_lists: bool,
-    /// The services behind the routes of resumable streams, as a digest, and since when they are.
-    routes: Option<(u64, Duration)>,
+    routes: RouteHistory,
+    /// The routes of resumable streams in force.
+    resumable: Vec<Arc<Route>>,
+    /// Whether streams of some of these routes had several possible origins when something was noted
+    /// last. The number of origins falls with time alone.
+    has_ambiguous_routes: bool,
     /// What the row in the store was last known to hold.
     stored: Option<StoredVersions>,
     /// Whether something changed that the row may not hold.
@@ -94,17 +101,13 @@
     routes_since_ms: UnixMs,
     /// Service, version and the last time at which it was seen.
     versions: Vec<(ServiceName, String, UnixMs)>,
-}
-
-/// Returns a digest of the services behind the routes of resumable streams; `None` if there is no
-/// such route.
-pub fn routes_digest(routes: &[Arc<Route>]) -> Option<u64> {
-    let mut fields: Vec<&[u8]> = Vec::new();
-    for route in routes.iter().filter(|route| route.is_resumable_stream()) {
-        fields.extend([route.host.as_bytes(), route.prefix.as_bytes()]);
-        fields.extend(route.services.iter().map(|(service, _)| service.as_bytes()));
-    }
-    (!fields.is_empty()).then(|| hash64(&fields))
+    /// Since when every change of the routes is known. Rows of former builds hold none; there the
+    /// routes are known since they are in force.
+    #[serde(default)]
+    routes_known_since_ms: Option<UnixMs>,
+    /// Host, prefix and service of former routes, and until when they were in force.
+    #[serde(default)]
+    former_routes: Vec<(String, String, ServiceName, UnixMs)>,
 }
 
 impl VersionHistory {
@@ -112,7 +115,8 @@
     pub fn note_list(&mut self, servers: &[ServerEntry], now: Duration) -> bool {
         if !self.is_listed(now) {
             self.has_missed_lists = self.listed_at.is_some();
-            self.watched_since = Some(now);
+            let is_complete = self.began_without_streams && !self.has_missed_lists;
+            self.watched_since = Some(if is_complete { Duration::ZERO } else { now });
         }
         self.listed_at = Some(now);
         self.seen.retain(|seen| is_remembered(seen.seen_at, now));
@@ -121,6 +125,7 @@
             is_new |= self.note_version(&server.service, &server.software_version, now);
         }
         self.has_unstored_changes |= is_new;
+        self.update_ambiguous(now);
         is_new
     }
 
@@ -143,12 +148,29 @@
         found.is_err()
     }
 
-    /// Notes the digest of the routes in force.
-    pub fn note_routes(&mut self, digest: u64, now: Duration) {
-        if self.routes.is_none_or(|(known, _)| known != digest) {
-            self.routes = Some((digest, now));
+    /// Notes the routes in force.
+    pub fn note_routes(&mut self, routes: &[Arc<Route>], now: Duration) {
+        if self.routes.note(routes, now) {
             self.has_unstored_changes = true;
+            let resumable = routes.iter().filter(|route| route.is_resumable_stream());
+            self.resumable = resumable.cloned().collect();
+        }
+        self.update_ambiguous(now);
+    }
+
+    /// Notes that the whole system starts for the first time, so that no stream began before.
+    pub fn begin_without_streams(&mut self, now: Duration) {
+        self.began_without_streams = true;
+        if !self.has_missed_lists {
+            self.watched_since = self.watched_since.map(|_| Duration::ZERO);
+            self.routes.begin_without_streams();
         }
+        self.update_ambiguous(now);
+    }
+
+    fn update_ambiguous(&mut self, now: Duration) {
+        let is_ambiguous = |route: &Arc<Route>| self.route_origin(route, now).is_none();
+        self.has_ambiguous_routes = self.resumable.iter().any(is_ambiguous);
     }
 
     /// Returns whether lists have followed each other closely until now.
@@ -168,28 +190,23 @@
         versions.next().is_none().then_some(only.origin)
     }
 
-    /// Returns whether the routes of resumable streams have led to the same services for as long as
-    /// streams last.
-    pub fn has_steady_routes(&self, now: Duration) -> bool {
-        self.routes.is_some_and(|(_, since)| !is_remembered(since, now))
+    /// Returns the origin of all streams of a route, if no other one is possible. What begins the
+    /// streams of other routes has to be stored.
+    pub fn route_origin(&self, route: &Route, now: Duration) -> Option<StreamOrigin> {
+        match self.routes.possible_services(route, now)?[..] {
+            [service] => self.only_origin(service, now),
+            _ => None,
+        }
     }
 
     /// Returns whether a route of resumable streams was in force.
     pub fn has_routes(&self) -> bool {
-        self.routes.is_some()
-    }
-
-    /// Returns whether a service had several versions lately. Only then what begins its streams has
-    /// to be stored.
-    pub fn has_several_versions(&self, service: &str, now: Duration) -> bool {
-        let is_version =
-            |seen: &&SeenVersion| seen.service == service && is_remembered(seen.seen_at, now);
-        self.seen.iter().filter(is_version).count() > 1
+        self.routes.digest().is_some()
     }
 
-    /// Returns whether any service had several versions lately.
-    pub fn has_any_several_versions(&self, now: Duration) -> bool {
-        self.seen.iter().any(|seen| self.has_several_versions(&seen.service, now))
+    /// Returns whether the streams of any route have several possible origins.
+    pub fn has_ambiguous_routes(&self, now: Duration) -> bool {
+        self.has_ambiguous_routes || (self.has_routes() && !self.is_listed(now))
     }
 
     /// Returns the history that the store should hold, `None` if the row that is known to be there
@@ -200,13 +217,17 @@
         incarnation: u64,
         confirms: bool,
     ) -> Option<StoredVersions> {
-        let (routes, routes_since) = self.routes?;
+        let (routes, routes_since) = self.routes.digest()?;
         if !self.is_listed(moment.now) {
             return None;
         }
         let version = |seen: &SeenVersion| {
             (seen.service.clone(), seen.version.clone(), moment.to_unix_ms(seen.seen_at))
         };
+        let former_route = |(routed, until): &(RoutedService, Duration)| {
+            let RoutedService { host, prefix, service } = routed.clone();
+            (host, prefix, service, moment.to_unix_ms(*until))
+        };
         let current = StoredVersions {
             format: FORMAT,
             incarnation,
@@ -215,6 +236,8 @@
             routes,
             routes_since_ms: moment.to_unix_ms(routes_since),
             versions: self.seen.iter().map(version).collect(),
+            routes_known_since_ms: self.routes.known_since().map(|at| moment.to_unix_ms(at)),
+            former_routes: self.routes.former().iter().map(former_route).collect(),
         };
         let needs_confirmation = self.stored.as_ref().is_none_or(|stored| {
             let is_due = stored.incarnation != incarnation || stored.is_due(moment.unix_ms);
@@ -243,6 +266,7 @@
         }
         self.has_unstored_changes = !is_valid || !stored.covers(self);
         self.stored = Some(stored);
+        self.update_ambiguous(moment.now);
     }
 
     fn take_over(&mut self, stored: &StoredVersions, moment: Moment, takes_times: bool) {
@@ -253,6 +277,11 @@
             let seen_at = if *seen_ms >= last_list_ms { moment.now } else { cautious(*seen_ms) };
             self.note_version(service, version, seen_at);
         }
+        let former = stored.former_routes.iter().map(|(host, prefix, service, until_ms)| {
+            let (host, prefix, service) = (host.clone(), prefix.clone(), service.clone());
+            (RoutedService { host, prefix, service }, cautious(*until_ms))
+        });
+        self.routes.take_over_former(former.collect(), moment.now);
         if !takes_times {
             return;
         }
@@ -260,11 +289,12 @@
         self.watched_since =
             Some(self.watched_since.map_or(watched_since, |own| own.min(watched_since)));
         self.listed_at.get_or_insert(moment.now);
-        let routes_since = cautious(stored.routes_since_ms);
-        let (digest, since) = self.routes.get_or_insert((stored.routes, routes_since));
-        if *digest == stored.routes {
-            *since = routes_since.min(*since);
-        }
+        let known_since_ms = stored.routes_known_since_ms.unwrap_or(stored.routes_since_ms);
+        self.routes.take_over_times(RouteTimes {
+            digest: stored.routes,
+            in_force_since: cautious(stored.routes_since_ms),
+            known_since: cautious(known_since_ms),
+        });
     }
 }
 
@@ -276,8 +306,14 @@
                 .iter()
                 .any(|(service, version, _)| *service == seen.service && *version == seen.version)
         };
-        history.routes.is_none_or(|(digest, _)| digest == self.routes)
+        let names_former = |(routed, _): &(RoutedService, Duration)| {
+            self.former_routes.iter().any(|(host, prefix, service, _)| {
+                *host == routed.host && *prefix == routed.prefix && *service == routed.service
+            })
+        };
+        history.routes.digest().is_none_or(|(digest, _)| digest == self.routes)
             && history.seen.iter().all(names)
+            && history.routes.former().iter().all(names_former)
     }
 
     fn is_due(&self, unix_ms: UnixMs) -> bool {
--- a/crates/fl-routing/tests/stored_versions.rs
+++ b/crates/fl-routing/tests/stored_versions.rs
@@ -6,18 +6,23 @@
 #[path = "support/version_server.rs"]
 mod version_server;
 
-use fl_protocol::forward::ServerEntry;
+use fl_protocol::forward::{Route, ServerEntry};
 use fl_routing::stream_origins::StreamOrigin;
 use fl_routing::version_history::{Moment, StoredVersions, VersionHistory};
 use rstest::rstest;
+use std::sync::Arc;
 use std::time::Duration;
-use version_server::server;
+use version_server::{route, server};
 
-const ROUTES: u64 = 7;
 const INCARNATION: u64 = 3;
 /// Wall clock and nodes' clock differ.
 const UNIX_OFFSET_MS: u64 = 1_700_000_000_000;
 
+/// Returns routes that lead to the service of all servers here.
+fn routes() -> [Arc<Route>; 1] {
+    [route("/plan/", &["models"])]
+}
+
 /// Returns a moment of a node whose clock begins a while before the test.
 fn moment(time_s: u64) -> Moment {
     Moment { now: Duration::from_secs(1000 + time_s), unix_ms: UNIX_OFFSET_MS + time_s * 1000 }
@@ -33,7 +38,7 @@
 /// Returns the row of a node that read lists with these versions until a time.
 fn row(versions: &[&str], until_s: u64) -> StoredVersions {
     let mut history = VersionHistory::default();
-    history.note_routes(ROUTES, moment(0).now);
+    history.note_routes(&routes(), moment(0).now);
     note_lists(&mut history, versions, 0, until_s);
     history.to_store(moment(until_s), INCARNATION, true).expect("nothing is stored yet")
 }
@@ -42,14 +47,14 @@
 fn started(row: StoredVersions, incarnation: u64, versions: &[&str], at_s: u64) -> VersionHistory {
     let mut history = VersionHistory::default();
     history.apply_stored(row, moment(at_s), incarnation);
-    history.note_routes(ROUTES, moment(at_s).now);
+    history.note_routes(&routes(), moment(at_s).now);
     note_lists(&mut history, versions, at_s, at_s);
     history
 }
 
 fn only_origin(history: &VersionHistory, at_s: u64) -> Option<StreamOrigin> {
     let now = moment(at_s).now;
-    history.only_origin("models", now).filter(|_| history.has_steady_routes(now))
+    history.route_origin(&routes()[0], now)
 }
 
 /// Guards against a node that forgets what others saw before it started, and against trusting a row
@@ -89,16 +94,55 @@
 fn routes_moved_before_start() {
     let mut history = VersionHistory::default();
     history.apply_stored(row(&["v1"], 60), moment(70), INCARNATION);
-    history.note_routes(ROUTES + 1, moment(70).now);
+    history.note_routes(&[route("/plan/", &["others"])], moment(70).now);
     note_lists(&mut history, &["v1"], 70, 70);
     assert_eq!(only_origin(&history, 70), None);
+    let moved = history.route_origin(&route("/plan/", &["others"]), moment(70).now);
+    assert_eq!(moved, None);
+}
+
+/// Guards against refusing streams of all routes after a restart, since operators had added another
+/// route shortly before, and against forgetting that a route had been moved.
+#[test]
+fn changed_routes_survive_restart() {
+    let moved = |service: &str| [route("/plan/", &["models"]), route("/other/", &[service])];
+    let mut history = VersionHistory::default();
+    history.note_routes(&routes(), moment(0).now);
+    note_lists(&mut history, &["v1"], 0, 60);
+    history.note_routes(&moved("former"), moment(40).now);
+    history.note_routes(&moved("models"), moment(58).now);
+    let row = history.to_store(moment(60), INCARNATION, true).expect("nothing is stored yet");
+    let mut started = VersionHistory::default();
+    started.note_routes(&moved("models"), moment(70).now);
+    started.apply_stored(row, moment(70), INCARNATION);
+    note_lists(&mut started, &["v1"], 70, 70);
+    assert!(only_origin(&started, 70).is_some());
+    assert_eq!(started.route_origin(&moved("models")[1], moment(70).now), None);
+}
+
+/// Guards against refusing all streams of a system that is younger than streams last: none began
+/// before it. A node whose VM alone is new does not know that.
+#[rstest]
+#[case::new_system(true)]
+#[case::new_node(false)]
+fn no_stream_before_first_start(#[case] is_new_system: bool) {
+    let mut history = VersionHistory::default();
+    history.note_routes(&routes(), moment(0).now);
+    note_lists(&mut history, &["v1"], 0, 1);
+    if is_new_system {
+        history.begin_without_streams(moment(1).now);
+    }
+    assert_eq!(only_origin(&history, 1).is_some(), is_new_system);
+    assert_eq!(history.has_ambiguous_routes(moment(1).now), !is_new_system);
+    note_lists(&mut history, &["v1", "v2"], 2, 3);
+    assert_eq!(only_origin(&history, 3), None, "v2 came");
 }
 
-/// Guards against a node that missed lists itself and takes an earlier time over from a row.
+/// Guards against a node that missed lists lists itself and takes an earlier time over from a row.
 #[test]
 fn missed_lists_not_taken_over() {
     let mut history = VersionHistory::default();
-    history.note_routes(ROUTES, moment(0).now);
+    history.note_routes(&routes(), moment(0).now);
     note_lists(&mut history, &["v1"], 0, 50);
     note_lists(&mut history, &["v1"], 58, 59);
     history.apply_stored(row(&["v1"], 49), moment(59), INCARNATION);
@@ -110,7 +154,7 @@
 #[test]
 fn row_written_when_something_changes() {
     let mut history = VersionHistory::default();
-    history.note_routes(ROUTES, moment(0).now);
+    history.note_routes(&routes(), moment(0).now);
     note_lists(&mut history, &["v1"], 0, 10);
     let first = history.to_store(moment(10), INCARNATION, false).expect("nothing is stored");
     history.note_stored(first);
