Say in which incarnation a usage report was stored

Callers' workspaces saw: after all nodes were killed while the store came back from an older copy, a window that the platform had accepted with 43 calls was accepted again with none.

Cause: a holder took the row of the older copy, or its own last report up to two windows back, for the newest that any node had sent; and a process that started since the loss knew nothing of it, as it never saw the incarnation rise. Ruled out: the lease (the second token is that of the new incarnation).

Change: the row names the incarnation before it was written. Only a row of the present incarnation, or the knowledge of a node that held the lease until the store came back, tells the newest report. Otherwise windows that had ended before the process first heard of the incarnation are left out, and usage_row_outdated says so.

Evidence: reports_lost_with_all_nodes::case_1 with the node binary of before: a window of 2 calls reported again with none; it passes now.

--- a/crates/fl-forward/src/duties.rs
+++ b/crates/fl-forward/src/duties.rs
@@ -24,6 +24,7 @@
 use tenure::Tenure;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
+use usage_reports::ReportState;
 
 /// The table that holds the rows of the duties.
 const DUTY_TABLE: &str = "duty";
@@ -44,7 +45,7 @@
 /// State of the duties while this node performs them.
 struct DutyWork {
     tenure: Tenure,
-    reports: usage_reports::ReportState,
+    reports: ReportState,
     orders: scaling::OrderState,
 }
 
@@ -181,7 +182,7 @@
         return LeaseState::Observing(stop_holding(node, lease, None));
     };
     if is_store_newer(node, lease.incarnation()) {
-        return LeaseState::Observing(stop_holding(node, lease, None));
+        return LeaseState::Observing(stop_after_return(node, lease, &mut work.reports));
     }
     let duty_lease = work.tenure.duty_lease(node, &lease, fencing);
     let performed = work.perform(node, &duty_lease).await;
@@ -192,14 +193,26 @@
     if !lease.is_renewal_due(boot_time()) || node.duty_lease.released.is_cancelled() {
         return LeaseState::Holding(lease);
     }
-    renew(node, lease).await
+    renew(node, lease, &mut work.reports).await
+}
+
+/// Stops holding the lease since the store came back from an older copy.
+fn stop_after_return(
+    node: &Node,
+    lease: Lease<Held>,
+    reports: &mut ReportState,
+) -> Lease<Observed> {
+    if lease.fencing_token(boot_time()).is_ok() {
+        reports.note_held_until(store_incarnation(node));
+    }
+    stop_holding(node, lease, None)
 }
 
 impl DutyWork {
     fn new() -> Self {
         DutyWork {
             tenure: Tenure::new(),
-            reports: usage_reports::ReportState::default(),
+            reports: ReportState::default(),
             orders: scaling::OrderState::default(),
         }
     }
@@ -253,7 +266,7 @@
 }
 
 /// Renews the lease. If the result of the write is unknown, the row is read to find out.
-async fn renew(node: &Node, lease: Lease<Held>) -> LeaseState {
+async fn renew(node: &Node, lease: Lease<Held>, reports: &mut ReportState) -> LeaseState {
     let lease_write = lease.renewal_write(rand::random());
     let sent_at = boot_time();
     let current = match write_lease(node, &lease_write).await {
@@ -266,7 +279,7 @@
     };
     // The renewal may have replaced the row of another holder, whose revision has the same number.
     if is_store_newer(node, lease.incarnation()) {
-        return LeaseState::Observing(stop_holding(node, lease, None));
+        return LeaseState::Observing(stop_after_return(node, lease, reports));
     }
     match lease.resolve_write(boot_time(), sent_at, &lease_write, current) {
         RenewalOutcome::Held(lease) => LeaseState::Holding(lease),
--- a/crates/fl-forward/src/duties/usage_reports.rs
+++ b/crates/fl-forward/src/duties/usage_reports.rs
@@ -1,22 +1,23 @@
 //! Usage reports: one for each window, the same whichever node sends it.
 //!
 //! A report is written to the store before it is sent. If this node fails to send it, the next
-//! holder of the lease sends exactly the same report.
+//! holder of the lease sends exactly the same report. A store that comes back from an older copy has
+//! lost such rows. See `docs/design/100-on-the-platform.md`.
 
 use super::DUTY_TABLE;
 use super::call_timer::CallTimer;
+use super::lease_row::store_incarnation;
 use super::tenure::first_call_wait;
 use crate::clock::boot_time;
-use crate::log::event::UsageReported;
+use crate::log::event::{UsageReported, UsageRowOutdated};
 use crate::node::Node;
 use crate::usage::{WindowCounts, add_count, window_number};
 use fl_kernel::clock::unix_ms;
 use fl_kernel::forward::{DutyLease, PlatformError, StoreRevision, WriteOutcome};
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 const USAGE_KEY: &str = "usage";
-/// Windows that the last report may lie before the current one while nothing is amiss.
-const KNOWN_WINDOWS: u64 = 2;
 /// Shortest wait after a window's end for the peers' counts.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
 /// A report that would be overdue within this time is sent without waiting for silent peers. The time
@@ -30,6 +31,22 @@
     is_sent: bool,
     /// The fencing token of the lease under which the last report was read.
     fencing: u64,
+    /// Whether no other node can have sent a later report than the last one.
+    is_last_newest: bool,
+    /// The incarnation in which the store came back while this node held the lease. No other node
+    /// sent reports between the last one of this node and then.
+    held_until_incarnation: Option<u64>,
+}
+
+/// The last report as the store holds it.
+#[derive(Debug, Serialize, Deserialize)]
+struct ReportRow {
+    #[serde(flatten)]
+    report: WindowCounts,
+    /// The store's incarnation before the row was written. Rows of former builds have none and count
+    /// as the oldest.
+    #[serde(default)]
+    incarnation: u64,
 }
 
 #[derive(Debug)]
@@ -45,8 +62,7 @@
     reports: &mut ReportState,
 ) -> Result<(), PlatformError> {
     if reports.fencing != duty_lease.fencing {
-        let own_last = reports.last.take().map(|last| (last.report, reports.is_sent));
-        *reports = load_last(node, duty_lease.fencing, own_last).await?;
+        *reports = load_last(node, duty_lease.fencing, reports).await?;
     }
     if !reports.is_sent {
         return send_last(node, duty_lease, reports).await;
@@ -57,48 +73,69 @@
     send_last(node, duty_lease, reports).await
 }
 
+impl ReportState {
+    /// Notes that the store came back in an incarnation while this node held the lease.
+    pub fn note_held_until(&mut self, incarnation: u64) {
+        self.held_until_incarnation = Some(incarnation);
+    }
+}
+
 /// Reads the previous holder's last report. It is sent again, as it may not have arrived.
 ///
-/// `own_last` is the last report that this node stored itself, and whether it was sent. It is newer
-/// than that of the row if the store has come back from an older copy.
+/// The last report that this node stored itself is newer than that of the row if the store has come
+/// back from an older copy.
 async fn load_last(
     node: &Node,
     fencing: u64,
-    own_last: Option<(WindowCounts, bool)>,
+    own: &ReportState,
 ) -> Result<ReportState, PlatformError> {
     let read = node.platform.store.read_row(DUTY_TABLE, USAGE_KEY).await;
     node.count_store_call("usage", read.is_ok());
     let row = read?;
     let revision = row.as_ref().map_or(0, |row| row.revision);
-    let stored: Option<WindowCounts> = match &row {
+    let stored: Option<ReportRow> = match &row {
         None => None,
         Some(row) => Some(
             serde_json::from_str(&row.value)
                 .map_err(|error| PlatformError::Unreadable(error.to_string()))?,
         ),
     };
-    let newer =
-        own_last.filter(|(own, _)| stored.as_ref().is_none_or(|row| own.window > row.window));
+    node.note_incarnation(store_incarnation(node));
+    let (incarnation, _) = node.store_incarnation();
+    let row_incarnation = stored.as_ref().map_or(0, |row| row.incarnation);
+    let is_last_newest =
+        row_incarnation == incarnation || own.held_until_incarnation == Some(incarnation);
+    if !is_last_newest {
+        node.log.write(&UsageRowOutdated { incarnation, row_incarnation });
+    }
+    let newer = own
+        .last
+        .as_ref()
+        .map(|last| &last.report)
+        .filter(|own| stored.as_ref().is_none_or(|row| own.window > row.report.window));
     let (last, is_sent) = match (newer, stored) {
-        (Some((own, is_sent)), _) => (Some(own), is_sent),
-        (None, Some(row)) => (Some(row), false),
+        (Some(report), _) => (Some(report.clone()), own.is_sent),
+        (None, Some(row)) => (Some(row.report), false),
         (None, None) => (None, true),
     };
     let last = last.map(|report| StoredReport { report, revision });
-    Ok(ReportState { last, is_sent, fencing })
+    let held_until_incarnation = own.held_until_incarnation;
+    Ok(ReportState { last, is_sent, fencing, is_last_newest, held_until_incarnation })
 }
 
-/// Returns the first window that may be reported after the store came back from an older copy.
+/// Returns the first window that may be reported after the store came back from an older copy, `None`
+/// if that does not matter.
 ///
 /// The rows of reports sent shortly before are lost. A window that had ended by then may have been
 /// reported, and its counts may have changed since, so a second report could contradict the first.
-/// A node that sent reports until then itself knows them.
 fn first_reportable_window(node: &Node, reports: &ReportState) -> Option<u64> {
-    let since = boot_time().saturating_sub(node.store_came_back_at()?);
-    let came_back_ms = unix_ms().saturating_sub(since.as_millis() as u64);
-    let window = window_number(came_back_ms, node.settings.bounds.usage_window);
-    let is_known = |last: &StoredReport| last.report.window + KNOWN_WINDOWS >= window;
-    (!reports.last.as_ref().is_some_and(is_known)).then_some(window)
+    if reports.is_last_newest {
+        return None;
+    }
+    let (_, seen_at) = node.store_incarnation();
+    let since = boot_time().saturating_sub(seen_at);
+    let seen_ms = unix_ms().saturating_sub(since.as_millis() as u64);
+    Some(window_number(seen_ms, node.settings.bounds.usage_window))
 }
 
 /// Returns the window whose report is due, if any.
@@ -142,14 +179,15 @@
     reports: &mut ReportState,
     report: WindowCounts,
 ) -> Result<(), PlatformError> {
-    let value = serde_json::to_string(&report)
+    let row = ReportRow { report, incarnation: store_incarnation(node) };
+    let value = serde_json::to_string(&row)
         .map_err(|error| PlatformError::Unreadable(error.to_string()))?;
     let expected = reports.last.as_ref().map_or(0, |last| last.revision);
     let written = node.platform.store.write_row(DUTY_TABLE, USAGE_KEY, &value, expected).await;
     node.count_store_call("usage", written.is_ok());
     match written {
         Ok(WriteOutcome::Written(revision)) => {
-            reports.last = Some(StoredReport { report, revision });
+            reports.last = Some(StoredReport { report: row.report, revision });
             reports.is_sent = false;
             Ok(())
         }
--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -11,7 +11,7 @@
 };
 pub use duty::{
     DutyFailed, FleetOrdered, LeaseChanged, RolloutAnswerBad, RolloutChanged,
-    RolloutOrderUnreadable, RolloutStopped, UsageReported,
+    RolloutOrderUnreadable, RolloutStopped, UsageReported, UsageRowOutdated,
 };
 pub use store::{
     DependencyLost, DependencyRegained, StoreCallsCounted, StoreIncarnationSeen, StreamOriginsRead,
@@ -76,6 +76,7 @@
     ReaderChanged => "reader_changed",
     LeaseChanged<'_> => "lease_changed",
     UsageReported<'_> => "usage_reported",
+    UsageRowOutdated => "usage_row_outdated",
     DutyFailed<'_> => "duty_failed",
     FleetOrdered<'_> => "fleet_ordered",
     RolloutChanged<'_> => "rollout_changed",
--- a/crates/fl-forward/src/log/event/duty.rs
+++ b/crates/fl-forward/src/log/event/duty.rs
@@ -32,6 +32,16 @@
     pub outcome: &'a str,
 }
 
+/// The stored usage report is of an older incarnation of the store, so later reports may be lost.
+/// Windows that had ended before the store came back are not reported.
+#[derive(Debug, Serialize)]
+pub struct UsageRowOutdated {
+    /// The store's incarnation.
+    pub incarnation: u64,
+    /// The incarnation in which the row was written; 0 if there is no row.
+    pub row_incarnation: u64,
+}
+
 /// A duty failed; it is tried again.
 #[derive(Debug, Serialize)]
 pub struct DutyFailed<'a> {
--- a/crates/fl-forward/src/node.rs
+++ b/crates/fl-forward/src/node.rs
@@ -94,8 +94,8 @@
 struct SeenIncarnation {
     /// The greatest incarnation; `None` before the first response.
     newest: Option<u64>,
-    /// The boot time at which it rose; `None` if the first one is still the newest.
-    risen_at: Option<Duration>,
+    /// The boot time at which this node first saw it.
+    since: Duration,
 }
 
 /// Counts a call as active until it is dropped.
@@ -163,15 +163,20 @@
     pub fn note_incarnation(&self, incarnation: u64) {
         let mut seen = self.incarnation.lock();
         let previous = seen.newest;
-        seen.newest = previous.max(Some(incarnation));
-        let Some(previous) = previous.filter(|previous| incarnation > *previous) else { return };
-        seen.risen_at = Some(boot_time());
-        self.log.write(&StoreIncarnationSeen { incarnation, previous });
+        if previous.is_some_and(|previous| incarnation <= previous) {
+            return;
+        }
+        *seen = SeenIncarnation { newest: Some(incarnation), since: boot_time() };
+        if let Some(previous) = previous {
+            self.log.write(&StoreIncarnationSeen { incarnation, previous });
+        }
     }
 
-    /// Returns when this node saw that the store had come back from an older copy, if it did.
-    pub fn store_came_back_at(&self) -> Option<Duration> {
-        self.incarnation.lock().risen_at
+    /// Returns the store's newest incarnation and the boot time at which this node first saw it. The
+    /// store came back before that.
+    pub fn store_incarnation(&self) -> (u64, Duration) {
+        let seen = self.incarnation.lock();
+        (seen.newest.unwrap_or(0), seen.since)
     }
 
     /// Sleeps for a time; returns `None` if the node is cancelled meanwhile.
