--- a/crates/fl-forward/src/admission.rs
+++ b/crates/fl-forward/src/admission.rs
@@ -116,8 +116,10 @@
     if !workspace.counts_tokens {
         return 1.0;
     }
-    let call_tokens =
-        head.model.as_ref().map(|model| model.prompt_tokens + model.response_tokens_max);
+    let call_tokens = head
+        .model
+        .as_ref()
+        .map(|model| model.prompt_tokens.saturating_add(model.response_tokens_max));
     let tokens = call_tokens.filter(|tokens| *tokens > 0).unwrap_or(workspace.default_tokens);
     tokens as f64
 }
--- a/crates/fl-routing/src/placement.rs
+++ b/crates/fl-routing/src/placement.rs
@@ -122,7 +122,7 @@
 fn cached_tokens(call: Option<&ModelCall>) -> u64 {
     let parts = call.map_or(&[][..], |call| &call.parts);
     let shared_parts = parts.len().saturating_sub(1);
-    parts[..shared_parts].iter().map(|part| part.tokens).sum()
+    parts[..shared_parts].iter().fold(0, |sum: u64, part| sum.saturating_add(part.tokens))
 }
 
 fn predict_times(
