Read servers and routes again before an origin is derived

Callers would see: streams that began at a new version through other nodes go on at the old one at a node that was suspended or cut off meanwhile, with nothing in the answer to show it (operators' report).

Cause: a list read less than 3 s ago was taken for the present, although nodes begin streams at a new version as soon as they read it. Ruled out: a wrong origin from a peer (none lived), a server changed under its name (answered 421).

Change: before an origin is derived, servers and routes are read again after the resumption arrived; calls that wait share the read. If it fails, the resumption is refused and may be repeated; if it shows a second version, the stored rows are read.

--- a/crates/fl-forward/src/stream_origins.rs
+++ b/crates/fl-forward/src/stream_origins.rs
@@ -4,11 +4,13 @@
 //! takes the stream up asks there. `fl_routing::stream_origins` decides whom. What cannot be told from the
 //! versions of services and the routes alone is stored as well. See `docs/design/120-stream-origins.md`.
 
+mod confirmation;
 mod stored;
 mod storing;
 
 pub use stored::OriginStoreTask;
 
+use confirmation::Confirmation;
 use storing::OriginStoring;
 
 use crate::admission::Admission;
@@ -51,6 +53,7 @@
     /// Notified when an origin was recorded.
     recorded: Notify,
     storing: OriginStoring,
+    confirmation: Confirmation,
 }
 
 impl Default for NodeStreamOrigins {
@@ -60,6 +63,7 @@
             versions: Mutex::default(),
             recorded: Notify::new(),
             storing: OriginStoring::default(),
+            confirmation: Confirmation::default(),
         }
     }
 }
@@ -182,11 +186,14 @@
     let read_timeout = READ_TIMEOUT.min(time_left / READ_TIMEOUT_DIVISOR);
     let Node { stream_origins: origins, peers, .. } = node;
     origins.storing.wait_for_first_read(read_timeout).await;
-    let known = match &head.resumed_attempt {
-        Some(attempt) => find_known(origins, peers, stream_hash(attempt), read_timeout).await,
+    let stream = head.resumed_attempt.as_deref().map(stream_hash);
+    let mut origin = match stream {
+        Some(stream) => find_known(origins, peers, stream, read_timeout).await,
         None => None,
     };
-    let origin = known.or_else(|| origins.route_origin(&admission.route));
+    if origin.is_none() {
+        origin = derive_origin(node, stream, &admission.route, read_timeout).await;
+    }
     let found = if origin.is_some() { "known" } else { "unknown" };
     metrics::counter!("fl_streams_taken_up_total", "origin" => found).increment(1);
     let origin = origin.ok_or_else(|| refuse("no node knows what began the stream"))?;
@@ -216,6 +223,30 @@
     origins.find(stream)
 }
 
+/// Returns the only origin that a stream of a route can have, as the servers and routes of this moment
+/// show. If they show a second one, the stream is looked for among those that are stored.
+async fn derive_origin(
+    node: &Node,
+    stream: Option<StreamHash>,
+    route: &Route,
+    read_timeout: Duration,
+) -> Option<StreamOrigin> {
+    let origins = &node.stream_origins;
+    origins.route_origin(route)?;
+    let confirming = origins.confirmation.is_current_since(node, boot_time());
+    let is_current = tokio::time::timeout(read_timeout, confirming).await.unwrap_or(false);
+    if !is_current {
+        metrics::counter!("fl_stream_origins_unconfirmed_total").increment(1);
+        return None;
+    }
+    let derived = origins.route_origin(route);
+    if derived.is_some() {
+        return derived;
+    }
+    origins.storing.read_again(read_timeout).await;
+    origins.find(stream?)
+}
+
 /// Returns what began a stream, from this node's own memory or that of its peers.
 async fn query_peers(
     origins: &NodeStreamOrigins,
