Replace rows of the duties that no node can have written

Operators would see: after another writer left a lease row with a fencing token of 2^64 - 1, or a usage row with such a window or without JSON, a process ends in builds that check for overflow; otherwise the duties are no longer performed.

Cause: rows of the duties were checked for their form alone, and one without the form kept the duty waiting for ever.

Change: an implausible lease row counts as that of an unknown holder, with a token above all that were given out; it is acquired after a term. An implausible report row is replaced, and windows that had ended by then are left out. Sums of counts saturate. duty_row_unreadable names the row.

--- a/crates/fl-fleet/src/lease.rs
+++ b/crates/fl-fleet/src/lease.rs
@@ -5,7 +5,7 @@
 //! unchanged for the term plus the allowed drift on its own clock. Clocks are never compared.
 
 use displaydoc::Display;
-use fl_protocol::{FencingToken, VmName};
+use fl_protocol::{FencingToken, UnixMs, VmName};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use thiserror::Error;
@@ -19,6 +19,12 @@
 /// Number of renewals in one term; more than one, so that a lost renewal does not end the lease.
 const RENEWALS_PER_TERM: u32 = 3;
 
+/// Longest term that a row may state, in milliseconds: far longer than any that is configured.
+const TERM_MAX_MS: u64 = 600_000;
+/// Name of the holder of a row that cannot be read.
+const UNKNOWN_HOLDER: &str = "unknown";
+const MS_PER_S: u64 = 1000;
+
 /// Value of a lease row, stored as JSON.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
@@ -32,6 +38,24 @@
     pub nonce: u64,
 }
 
+impl LeaseRow {
+    /// Returns whether a node can have written the row in an incarnation of the store or before.
+    pub fn is_plausible(&self, incarnation: u64) -> bool {
+        self.fencing >> FENCING_BITS <= incarnation && self.term_ms <= TERM_MAX_MS
+    }
+
+    /// Returns what stands for a row that cannot be read: it belongs to an unknown holder, and its
+    /// token is greater than all that were given out, as no incarnation has a holder each second.
+    pub fn of_unknown_holder(incarnation: u64, term: Duration, unix_ms: UnixMs) -> Self {
+        LeaseRow {
+            holder: UNKNOWN_HOLDER.to_string(),
+            fencing: first_fencing(incarnation).saturating_add(unix_ms / MS_PER_S),
+            term_ms: term.as_millis() as u64,
+            nonce: 0,
+        }
+    }
+}
+
 /// Reason why a lease has no valid fencing token.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum LeaseError {
--- a/crates/fl-forward/src/duties.rs
+++ b/crates/fl-forward/src/duties.rs
@@ -150,7 +150,7 @@
     let Ok(row) = read_lease(node).await else { return LeaseState::Observing(lease) };
     let lease = lease
         .in_incarnation(boot_time(), store_incarnation(node))
-        .observe(boot_time(), row.as_ref().and_then(parse_row));
+        .observe(boot_time(), row.as_ref().map(|row| parse_row(node, row)));
     let Some(lease_write) = lease.acquire_write(boot_time(), rand::random()) else {
         return LeaseState::Observing(lease);
     };
@@ -169,9 +169,9 @@
         }
         // The write took effect in a later incarnation, whose holders this node does not know.
         Ok(WriteOutcome::Written(_)) => LeaseState::Observing(lease),
-        Ok(WriteOutcome::Conflict(row)) => {
-            LeaseState::Observing(lease.observe(boot_time(), row.as_ref().and_then(parse_row)))
-        }
+        Ok(WriteOutcome::Conflict(row)) => LeaseState::Observing(
+            lease.observe(boot_time(), row.as_ref().map(|row| parse_row(node, row))),
+        ),
         Err(_) => LeaseState::Observing(lease),
     }
 }
@@ -271,9 +271,9 @@
     let sent_at = boot_time();
     let current = match write_lease(node, &lease_write).await {
         Ok(WriteOutcome::Written(revision)) => Some((revision, lease_write.row.clone())),
-        Ok(WriteOutcome::Conflict(row)) => row.as_ref().and_then(parse_row),
+        Ok(WriteOutcome::Conflict(row)) => row.as_ref().map(|row| parse_row(node, row)),
         Err(_) => match read_lease(node).await {
-            Ok(row) => row.as_ref().and_then(parse_row),
+            Ok(row) => row.as_ref().map(|row| parse_row(node, row)),
             Err(_) => return LeaseState::Holding(lease),
         },
     };
--- a/crates/fl-forward/src/duties/lease_row.rs
+++ b/crates/fl-forward/src/duties/lease_row.rs
@@ -5,9 +5,11 @@
 //! See `docs/design/080-leases-and-fencing.md`.
 
 use super::DUTY_TABLE;
+use crate::log::event::DutyRowUnreadable;
 use crate::node::Node;
 use fl_fleet::{LeaseRow, LeaseWrite};
-use fl_kernel::forward::{PlatformError, StoredRow, WriteOutcome};
+use fl_kernel::clock::unix_ms;
+use fl_kernel::forward::{PlatformError, StoreRevision, StoredRow, WriteOutcome};
 
 /// Key of the row in the table of the duties.
 const LEASE_KEY: &str = "lease";
@@ -42,8 +44,16 @@
     result
 }
 
-/// Returns the revision and the contents of the row, `None` if it cannot be read.
-pub(super) fn parse_row(row: &StoredRow) -> Option<(u64, LeaseRow)> {
-    let parsed_row = serde_json::from_str(&row.value).ok()?;
-    Some((row.revision, parsed_row))
+/// Returns the revision and the contents of the row. A row that no node can have written is taken for
+/// that of an unknown holder, so that it cannot keep the lease from all nodes.
+pub(super) fn parse_row(node: &Node, row: &StoredRow) -> (StoreRevision, LeaseRow) {
+    let incarnation = store_incarnation(node);
+    let parsed = serde_json::from_str::<LeaseRow>(&row.value).ok();
+    let sound_row = parsed.filter(|parsed| parsed.is_plausible(incarnation));
+    let lease_row = sound_row.unwrap_or_else(|| {
+        node.log.write(&DutyRowUnreadable { key: LEASE_KEY, revision: row.revision });
+        let term = node.settings.bounds.lease_duration;
+        LeaseRow::of_unknown_holder(incarnation, term, unix_ms())
+    });
+    (row.revision, lease_row)
 }
--- a/crates/fl-forward/src/duties/usage_reports.rs
+++ b/crates/fl-forward/src/duties/usage_reports.rs
@@ -9,11 +9,11 @@
 use super::lease_row::store_incarnation;
 use super::tenure::first_call_wait;
 use crate::clock::boot_time;
-use crate::log::event::{UsageReported, UsageRowOutdated};
+use crate::log::event::{DutyRowUnreadable, UsageReported, UsageRowOutdated};
 use crate::node::Node;
 use crate::usage::{WindowCounts, add_count, window_number};
 use fl_kernel::clock::unix_ms;
-use fl_kernel::forward::{DutyLease, PlatformError, StoreRevision, WriteOutcome};
+use fl_kernel::forward::{DutyLease, PlatformError, StoreRevision, StoredRow, WriteOutcome};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -24,6 +24,9 @@
 /// covers a handover of the lease, to which the wait before the new holder's first call is added.
 const OVERDUE_MARGIN: Duration = Duration::from_millis(4000);
 
+/// By how much the wall clock of the node that wrote a row may be ahead of this one's.
+const CLOCK_ERROR_MAX: Duration = Duration::from_secs(3600);
+
 /// The last report and whether it was sent.
 #[derive(Debug, Default)]
 pub struct ReportState {
@@ -31,8 +34,9 @@
     is_sent: bool,
     /// The fencing token of the lease under which the last report was read.
     fencing: u64,
-    /// Whether no other node can have sent a later report than the last one.
-    is_last_newest: bool,
+    /// The first window that may be reported, if other nodes may have sent later reports than the last
+    /// one. Their counts may have changed since, so a second report could contradict the first.
+    first_reportable: Option<u64>,
     /// The incarnation in which the store came back while this node held the lease. No other node
     /// sent reports between the last one of this node and then.
     held_until_incarnation: Option<u64>,
@@ -93,21 +97,21 @@
     node.count_store_call("usage", read.is_ok());
     let row = read?;
     let revision = row.as_ref().map_or(0, |row| row.revision);
-    let stored: Option<ReportRow> = match &row {
-        None => None,
-        Some(row) => Some(
-            serde_json::from_str(&row.value)
-                .map_err(|error| PlatformError::Unreadable(error.to_string()))?,
-        ),
-    };
+    let stored = row.as_ref().and_then(|row| parse_row(node, row));
+    let is_unreadable = row.is_some() && stored.is_none();
     node.note_incarnation(store_incarnation(node));
-    let (incarnation, _) = node.store_incarnation();
+    let (incarnation, seen_at) = node.store_incarnation();
     let row_incarnation = stored.as_ref().map_or(0, |row| row.incarnation);
     let is_last_newest =
         row_incarnation == incarnation || own.held_until_incarnation == Some(incarnation);
-    if !is_last_newest {
+    let first_reportable = if is_unreadable {
+        Some(window_at(node, boot_time()))
+    } else if is_last_newest {
+        None
+    } else {
         node.log.write(&UsageRowOutdated { incarnation, row_incarnation });
-    }
+        Some(window_at(node, seen_at))
+    };
     let newer = own
         .last
         .as_ref()
@@ -120,22 +124,26 @@
     };
     let last = last.map(|report| StoredReport { report, revision });
     let held_until_incarnation = own.held_until_incarnation;
-    Ok(ReportState { last, is_sent, fencing, is_last_newest, held_until_incarnation })
+    Ok(ReportState { last, is_sent, fencing, first_reportable, held_until_incarnation })
 }
 
-/// Returns the first window that may be reported after the store came back from an older copy, `None`
-/// if that does not matter.
-///
-/// The rows of reports sent shortly before are lost. A window that had ended by then may have been
-/// reported, and its counts may have changed since, so a second report could contradict the first.
-fn first_reportable_window(node: &Node, reports: &ReportState) -> Option<u64> {
-    if reports.is_last_newest {
-        return None;
+/// Returns the contents of a row, `None` if no node can have written it.
+fn parse_row(node: &Node, row: &StoredRow) -> Option<ReportRow> {
+    let latest_ms = unix_ms() + CLOCK_ERROR_MAX.as_millis() as u64;
+    let latest = window_number(latest_ms, node.settings.bounds.usage_window);
+    let parsed = serde_json::from_str::<ReportRow>(&row.value).ok();
+    let sound_row = parsed.filter(|parsed| parsed.report.window <= latest);
+    if sound_row.is_none() {
+        node.log.write(&DutyRowUnreadable { key: USAGE_KEY, revision: row.revision });
     }
-    let (_, seen_at) = node.store_incarnation();
-    let since = boot_time().saturating_sub(seen_at);
-    let seen_ms = unix_ms().saturating_sub(since.as_millis() as u64);
-    Some(window_number(seen_ms, node.settings.bounds.usage_window))
+    sound_row
+}
+
+/// Returns the window of a boot time that has passed.
+fn window_at(node: &Node, time: Duration) -> u64 {
+    let since = boot_time().saturating_sub(time);
+    let then_ms = unix_ms().saturating_sub(since.as_millis() as u64);
+    window_number(then_ms, node.settings.bounds.usage_window)
 }
 
 /// Returns the window whose report is due, if any.
@@ -146,7 +154,7 @@
     let current = window_number(now_ms, bounds.usage_window);
     let overdue = bounds.usage_delay.as_millis() as u64 / length_ms.max(1);
     let oldest = current.saturating_sub(overdue);
-    let oldest = first_reportable_window(node, reports).map_or(oldest, |first| first.max(oldest));
+    let oldest = reports.first_reportable.map_or(oldest, |first| first.max(oldest));
     let window = reports.last.as_ref().map_or(oldest, |last| (last.report.window + 1).max(oldest));
     let ended_ms = now_ms.checked_sub((window + 1) * length_ms)?;
     let since_end = Duration::from_millis(ended_ms);
@@ -212,7 +220,7 @@
     let sent = duties.report_usage(duty_lease, report.window, &report.counts).await;
     let took_ms = timer.stop(sent.as_ref().err());
     let lease_left_ms = timer.lease_left_ms();
-    let calls = report.counts.iter().map(|(_, calls)| calls).sum();
+    let calls = report.counts.iter().fold(0, |sum: u64, (_, calls)| sum.saturating_add(*calls));
     let outcome = if sent.is_ok() { "accepted" } else { "not accepted" };
     let (window, fencing) = (report.window, duty_lease.fencing);
     node.log.write(&UsageReported { window, calls, fencing, lease_left_ms, took_ms, outcome });
--- a/crates/fl-forward/src/log/event.rs
+++ b/crates/fl-forward/src/log/event.rs
@@ -10,7 +10,7 @@
     ServerCrashed, StreamResumed, StreamTakenUp,
 };
 pub use duty::{
-    DutyFailed, FleetOrdered, LeaseChanged, RolloutAnswerBad, RolloutChanged,
+    DutyFailed, DutyRowUnreadable, FleetOrdered, LeaseChanged, RolloutAnswerBad, RolloutChanged,
     RolloutOrderUnreadable, RolloutStopped, UsageReported, UsageRowOutdated,
 };
 pub use store::{
@@ -78,6 +78,7 @@
     UsageReported<'_> => "usage_reported",
     UsageRowOutdated => "usage_row_outdated",
     DutyFailed<'_> => "duty_failed",
+    DutyRowUnreadable<'_> => "duty_row_unreadable",
     FleetOrdered<'_> => "fleet_ordered",
     RolloutChanged<'_> => "rollout_changed",
     RolloutStopped<'_> => "rollout_stopped",
--- a/crates/fl-forward/src/log/event/duty.rs
+++ b/crates/fl-forward/src/log/event/duty.rs
@@ -42,6 +42,15 @@
     pub row_incarnation: u64,
 }
 
+/// A row of the duties cannot have been written by a node. It is replaced by the next write.
+#[derive(Debug, Serialize)]
+pub struct DutyRowUnreadable<'a> {
+    /// The key of the row.
+    pub key: &'a str,
+    /// The revision of the row.
+    pub revision: u64,
+}
+
 /// A duty failed; it is tried again.
 #[derive(Debug, Serialize)]
 pub struct DutyFailed<'a> {
--- a/crates/fl-forward/src/usage.rs
+++ b/crates/fl-forward/src/usage.rs
@@ -52,7 +52,7 @@
 /// Adds to the count of a name in a list that is sorted by name.
 pub fn add_count(counts: &mut Vec<(WorkspaceName, u64)>, name: &str, added: u64) {
     match counts.binary_search_by(|(known, _)| known.as_str().cmp(name)) {
-        Ok(index) => counts[index].1 += added,
+        Ok(index) => counts[index].1 = counts[index].1.saturating_add(added),
         Err(index) => counts.insert(index, (name.to_string(), added)),
     }
 }
