Reflow comments on origins and name the counted table as elsewhere

Cause: the read-through found two comments wider than the others, and calls of the confirmation counted under a name of their own. Change: both as elsewhere; nothing else.

--- a/crates/fl-forward/src/stream_origins.rs
+++ b/crates/fl-forward/src/stream_origins.rs
@@ -1,8 +1,9 @@
 //! Lets a stream go on only at the software version that began it.
 //!
 //! When a stream begins, one node in each data centre is told its origin; a node at which a caller
-//! takes the stream up asks there. `fl_routing::stream_origins` decides whom. What cannot be told from the
-//! versions of services and the routes alone is stored as well. See `docs/design/120-stream-origins.md`.
+//! takes the stream up asks there. `fl_routing::stream_origins` decides whom. What cannot be told
+//! from the versions of services and the routes alone is stored as well. See
+//! `docs/design/120-stream-origins.md`.
 
 mod confirmation;
 mod stored;
@@ -223,8 +224,8 @@
     origins.find(stream)
 }
 
-/// Returns the only origin that a stream of a route can have, as the servers and routes of this moment
-/// show. If they show a second one, the stream is looked for among those that are stored.
+/// Returns the only origin that a stream of a route can have, as the servers and routes of this
+/// moment show. If they show a second one, the stream is looked for among those that are stored.
 async fn derive_origin(
     node: &Node,
     stream: Option<StreamHash>,
--- a/crates/fl-forward/src/stream_origins/confirmation.rs
+++ b/crates/fl-forward/src/stream_origins/confirmation.rs
@@ -48,7 +48,7 @@
     let store = &node.platform.store;
     let (list, table_read) = tokio::join!(store.read_servers(), store.read_route_table());
     node.count_store_call("servers", list.is_ok());
-    node.count_store_call("route table", table_read.is_ok());
+    node.count_store_call("operators' table", table_read.is_ok());
     let (Ok(list), Ok(table_read)) = (list, table_read) else { return false };
     servers::apply_list(node, list, sent_at);
     let version = table_read.table.map(|table| table.version);
