--- a/crates/fl-forward/tests/connection_timeouts.rs
+++ b/crates/fl-clients/tests/connection_timeouts.rs
@@ -1,6 +1,6 @@
 //! A new idle timeout applies from the next response on.
 
-use fl_forward::connection_timeouts::{ConnectionTimer, TimedConnection};
+use fl_clients::{ConnectionTimer, TimedConnection};
 use std::io::ErrorKind;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -13,9 +13,9 @@
     let (connection, _caller) = tokio::io::duplex(64);
     let timer = ConnectionTimer::new(LONG, LONG);
     let mut connection = TimedConnection::new(connection, timer.clone());
-    timer.on_head_read();
+    let request = timer.on_head_read();
     timer.set_timeouts(LONG, SHORT);
-    timer.on_answered();
+    drop(request);
     let read = connection.read_u8().await;
     assert_eq!(read.map_err(|error| error.kind()), Err(ErrorKind::TimedOut));
 }
@@ -25,9 +25,9 @@
     let (connection, mut caller) = tokio::io::duplex(64);
     let timer = ConnectionTimer::new(LONG, SHORT);
     let mut connection = TimedConnection::new(connection, timer.clone());
-    timer.on_head_read();
+    let request = timer.on_head_read();
     timer.set_timeouts(LONG, LONG);
-    timer.on_answered();
+    drop(request);
     let write_later = async {
         tokio::time::sleep(SHORT * 3).await;
         caller.write_u8(7).await
--- a/crates/fl-forward/src/backend_response.rs
+++ b/crates/fl-forward/src/backend_response.rs
@@ -10,14 +10,15 @@
 use crate::log::event::StreamTakenUp;
 use crate::node::Node;
 use crate::stream_origins;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use fl_clients::{ClientResources, NoMemory, ReservedBuffer};
 use fl_kernel::clock::unix_ms;
 use fl_protocol::forward::ServerEntry;
 use fl_routing::server_speed::ServerSpeed;
 use fl_routing::stream_origins::StreamOrigin;
 use http::{HeaderMap, StatusCode, header};
 use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use relay::EventSource;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -72,7 +73,8 @@
     count_usage(node, call, progress);
     progress.may_have_run = true;
     let (parts, body) = attempt.response.into_parts();
-    let reading = tokio::time::timeout_at(call.admission.deadline, read_body(body)).await;
+    let reading = read_body(body, &node.clients);
+    let reading = tokio::time::timeout_at(call.admission.deadline, reading).await;
     let bytes = match reading {
         Ok(Ok(bytes)) => bytes,
         Ok(Err(error)) => {
@@ -114,20 +116,28 @@
     Broken(hyper::Error),
     /// the body is larger than 8 MiB
     TooLarge,
+    /// no memory is free for the body
+    NoMemory(#[from] NoMemory),
 }
 
-async fn read_body(mut body: Incoming) -> Result<Bytes, BodyError> {
-    let mut bytes = BytesMut::new();
+async fn read_body(mut body: Incoming, clients: &ClientResources) -> Result<Bytes, BodyError> {
+    let mut bytes = ReservedBuffer::for_answer(clients, FULL_RESPONSE_BYTES_MAX);
+    if let Some(announced) = body.size_hint().exact() {
+        let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+        if announced > FULL_RESPONSE_BYTES_MAX {
+            return Err(BodyError::TooLarge);
+        }
+        bytes.reserve(announced).await?;
+    }
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(BodyError::Broken)?;
-        if let Some(data) = frame.data_ref() {
-            bytes.extend_from_slice(data);
-        }
-        if bytes.len() > FULL_RESPONSE_BYTES_MAX {
+        let data = frame.data_ref().map_or(&[][..], |data| data);
+        if bytes.len() + data.len() > FULL_RESPONSE_BYTES_MAX {
             return Err(BodyError::TooLarge);
         }
+        bytes.push(data).await?;
     }
-    Ok(bytes.freeze())
+    Ok(bytes.into_bytes())
 }
 
 /// Waits for the first event of a stream. Until then, the call can still be retried at another
--- a/crates/fl-forward/src/backend_response/relay.rs
+++ b/crates/fl-forward/src/backend_response/relay.rs
@@ -12,6 +12,7 @@
 use crate::sse::{SseError, SseEvent, SseSplitter};
 use crate::stream_origins;
 use bytes::Bytes;
+use fl_clients::{INCLUDED_BYTES, NoMemory, Reservation, hold_bytes};
 use fl_protocol::forward::ServerEntry;
 use fl_routing::stream_origins::StreamOrigin;
 use http::header;
@@ -52,6 +53,8 @@
     ends_with_connection: bool,
     has_sent_event: bool,
     splitter: SseSplitter,
+    /// Memory of an incomplete event that is large.
+    partial_event_memory: Option<Reservation>,
     connection: Option<Connection>,
     /// Counts the call as in flight at the server until it is dropped.
     in_flight: InFlightCall,
@@ -79,6 +82,8 @@
     Empty,
     /// the server sends no event stream: {0}
     NoEvents(#[from] SseError),
+    /// no memory is free for an event
+    NoMemory(#[from] NoMemory),
 }
 
 impl StreamError {
@@ -118,6 +123,7 @@
             ends_with_connection: !is_framed,
             has_sent_event: false,
             splitter: SseSplitter::default(),
+            partial_event_memory: None,
             connection: Some(attempt.connection),
             in_flight: attempt.in_flight,
             watch: attempt.watch,
@@ -130,13 +136,15 @@
             if let Some(event) = self.splitter.next_event() {
                 self.has_sent_event = true;
                 self.in_flight.on_event();
-                return Ok(Some(event));
+                let bytes = hold_bytes(&self.node.clients, event.bytes).await?;
+                return Ok(Some(SseEvent { bytes, ..event }));
             }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     self.node.links.record_received();
                     let data = frame.data_ref().map_or(&[][..], |data| data);
                     self.splitter.push(data)?;
+                    self.reserve_partial_event().await?;
                 }
                 Some(Err(error)) => return Err(StreamError::Broken(error)),
                 None if self.splitter.has_partial() => return Err(StreamError::CutOff),
@@ -148,6 +156,20 @@
         }
     }
 
+    /// Reserves memory for an incomplete event that is large; its size at least doubles.
+    async fn reserve_partial_event(&mut self) -> Result<(), NoMemory> {
+        let pending_bytes = self.splitter.pending_bytes();
+        let reserved_bytes = self.partial_event_memory.as_ref().map_or(0, Reservation::bytes);
+        if pending_bytes <= INCLUDED_BYTES {
+            self.partial_event_memory = None;
+        } else if pending_bytes > reserved_bytes {
+            let bytes = pending_bytes.next_power_of_two();
+            let reserving = self.node.clients.reserve_for_answer(bytes);
+            self.partial_event_memory = Some(reserving.await?);
+        }
+        Ok(())
+    }
+
     /// Records that the server has prefilled the prompt of the call.
     pub(super) fn on_first_token(&mut self) {
         self.in_flight.on_first_token(self.sent_at.elapsed());
--- a/crates/fl-forward/src/connection_pool.rs
+++ b/crates/fl-forward/src/connection_pool.rs
@@ -34,6 +34,9 @@
 const TCP_KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered probes after which the kernel closes the connection.
 const TCP_KEEPALIVE_PROBES: u32 = 3;
+/// Size of the kernel's buffer for what a server has sent and the node has not read, as for a stream
+/// whose caller reads slowly.
+const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
 /// Idle limit of connections to a server that states no keep-alive timeout.
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// Share of the stated keep-alive timeout that is used. The server starts to count it earlier than
@@ -87,6 +90,8 @@
             Ok(Ok(stream)) => stream,
         };
         set_socket_options(&stream).map_err(|error| connect_error(error.to_string()))?;
+        // Without it, a connection takes more memory; it works all the same.
+        let _ = SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
         let head_limit = HeadLimit::new();
         let stream = HeadLimitedStream::new(stream, head_limit.clone());
         let (sender, connection) = handshake(TokioIo::new(stream))
--- a/crates/fl-forward/src/http_server.rs
+++ b/crates/fl-forward/src/http_server.rs
@@ -6,45 +6,58 @@
 use crate::attempt::Resumption;
 use crate::backend_response::BackendResponse;
 use crate::connection_pool::set_socket_options;
-use crate::connection_timeouts::{ConnectionTimer, TimedConnection};
 use crate::crash_suspects::{self, suspect_keys};
 use crate::forwarding::{Call, Progress, forward_call};
 use crate::node::{ActiveCallGuard, Node};
 use crate::stream_origins::find_origin;
 use bytes::Bytes;
+use fl_clients::{
+    ActiveRequest, BodyError, BodyReader, ConnectionSlot, INCLUDED_BYTES, NoMemory, Reservation,
+    TimedConnection, serve_until_closed,
+};
 use fl_kernel::forward::Refusal;
 use fl_protocol::forward::{CallHead, RequestLimits};
 use fl_protocol::{Fingerprint, hash64};
 use http::{Request, Response, StatusCode, header};
-use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use response::{AnsweredGuard, CallRecord, ResponseBody};
+use response::{CallRecord, ResponseBody};
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
 /// The smallest buffer size that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
+/// Retry delay given to callers while memory is short. Bodies that do not go on have made room by then.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Memory that one part of a prompt takes in all places that keep it while its call is served.
+const PROMPT_PART_BYTES: usize = 128;
 
 /// Accepts callers' connections until the node closes them to stop.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
-    while let Some(accepted) = node.closing.run_until_cancelled(listener.accept()).await {
-        if let Ok((stream, _)) = accepted {
-            tokio::spawn(serve_connection(node.clone(), stream));
-        }
+    loop {
+        let limits = node.route_table.current().limits;
+        let callers = node.clients.callers();
+        let accepting = callers.accept(&listener, limits.head_timeout, limits.idle_timeout);
+        let Some((stream, _, slot)) = node.closing.run_until_cancelled(accepting).await else {
+            return;
+        };
+        tokio::spawn(serve_connection(node.clone(), stream, slot));
     }
 }
 
 /// Serves one connection. When the node stops, the current response is completed first.
-async fn serve_connection(node: Arc<Node>, stream: TcpStream) {
+async fn serve_connection(node: Arc<Node>, stream: TcpStream, slot: ConnectionSlot) {
     // If setting the options fails, the connection is broken and ends at its first read.
     let _ = set_socket_options(&stream);
     let limits = node.route_table.current().limits;
-    let timer = ConnectionTimer::new(limits.head_timeout, limits.idle_timeout);
-    let io = TokioIo::new(TimedConnection::new(stream, timer.clone()));
+    let timer = slot.timer().clone();
+    timer.set_timeouts(limits.head_timeout, limits.idle_timeout);
+    let body_reader = BodyReader::new(&node.clients, &slot);
+    let timed = TimedConnection::new(stream, timer.clone()).with_resources(node.clients.clone());
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder
         .timer(TokioTimer::new())
@@ -52,29 +65,32 @@
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
     let service_node = node.clone();
     let service = service_fn(move |request| {
-        timer.on_head_read();
+        let active_request = timer.on_head_read();
+        let body_reader = body_reader.clone();
         let node = service_node.clone();
         // A connection may outlive the route table version that was in force when it began.
         let limits = node.route_table.current().limits;
         timer.set_timeouts(limits.head_timeout, limits.idle_timeout);
-        let guard = AnsweredGuard(timer.clone());
-        async move { Ok::<_, Infallible>(handle_request(node, request, limits, guard).await) }
+        let incoming = IncomingCall { active_request, body_reader, limits };
+        async move { Ok::<_, Infallible>(handle_request(node, request, incoming).await) }
     });
-    let connection = builder.serve_connection(io, service);
-    tokio::pin!(connection);
-    tokio::select! {
-        _ = &mut connection => return,
-        () = node.closing.cancelled() => connection.as_mut().graceful_shutdown(),
-    }
-    let _ = node.cancel.run_until_cancelled(connection).await;
+    let connection = builder.serve_connection(TokioIo::new(timed), service);
+    serve_until_closed(connection, slot, &node.closing, &node.cancel).await;
+}
+
+/// What a call needs of the connection that it is received on.
+struct IncomingCall {
+    /// Dropped when the answer was written.
+    active_request: ActiveRequest,
+    body_reader: BodyReader,
+    limits: RequestLimits,
 }
 
 /// Answers one request and logs the outcome.
 async fn handle_request(
     node: Arc<Node>,
     request: Request<Incoming>,
-    limits: RequestLimits,
-    guard: AnsweredGuard,
+    incoming: IncomingCall,
 ) -> Response<ResponseBody> {
     let received_at = Instant::now();
     let (parts, body) = request.into_parts();
@@ -85,9 +101,9 @@
         received_at,
         _active_call: ActiveCallGuard::begin(&node),
     };
-    match forward(&mut record, parts, body, limits).await {
-        Ok((response, progress)) => record.respond(response, &progress, guard),
-        Err((refusal, progress)) => record.refuse(&refusal, &progress, guard),
+    match forward(&mut record, parts, body, &incoming).await {
+        Ok((response, progress)) => record.respond(response, &progress, incoming.active_request),
+        Err((refusal, progress)) => record.refuse(&refusal, &progress, incoming.active_request),
     }
 }
 
@@ -97,17 +113,18 @@
     record: &mut CallRecord,
     parts: http::request::Parts,
     body: Incoming,
-    limits: RequestLimits,
+    incoming: &IncomingCall,
 ) -> Result<(BackendResponse, Progress), (Refusal, Progress)> {
     let node = record.node.clone();
     let before_sending = |refusal: Refusal| (refusal, Progress::default());
     let head = node.platform.codec.parse_request(&parts);
     record.head =
         head.map_err(|_| before_sending(bad_request("the request's head cannot be read")))?;
-    check_length(&parts.headers, limits).map_err(before_sending)?;
+    check_length(&parts.headers, incoming.limits).map_err(before_sending)?;
+    let parts_memory = reserve_prompt_parts(&node, &record.head).await.map_err(before_sending)?;
     let admission = admit(&node, &record.head, record.received_at).map_err(before_sending)?;
     record.admission = Some(admission.clone());
-    let body = read_body(body, limits, admission.deadline).await.map_err(before_sending)?;
+    let body = read_body(body, incoming, admission.deadline).await.map_err(before_sending)?;
     let fingerprint = fingerprint(&parts, &record.head, &admission, &body);
     let suspect_keys = suspect_keys(fingerprint, record.head.model.as_ref());
     crash_suspects::check(&node, &suspect_keys).map_err(before_sending)?;
@@ -123,6 +140,7 @@
         parts,
         body,
         admission,
+        _parts_memory: parts_memory,
     };
     forward_call(&node, Arc::new(call)).await
 }
@@ -155,22 +173,44 @@
     Ok(())
 }
 
+/// Reserves memory for the parts of a prompt, if a call names very many.
+async fn reserve_prompt_parts(
+    node: &Node,
+    head: &CallHead,
+) -> Result<Option<Reservation>, Refusal> {
+    let parts = head.model.as_ref().map_or(0, |model| model.parts.len());
+    let bytes = parts * PROMPT_PART_BYTES;
+    if bytes <= INCLUDED_BYTES {
+        return Ok(None);
+    }
+    let reserved = node.clients.reserve(bytes).await;
+    reserved.map(Some).map_err(|NoMemory| no_memory("no memory is free for the prompt's parts"))
+}
+
 async fn read_body(
     body: Incoming,
-    limits: RequestLimits,
+    incoming: &IncomingCall,
     deadline: Instant,
 ) -> Result<Bytes, Refusal> {
-    let reading = Limited::new(body, limits.body_bytes).collect();
-    match tokio::time::timeout_at(deadline, reading).await {
-        Err(_) => Err(Refusal {
+    let reading = incoming.body_reader.read(body, incoming.limits.body_bytes);
+    let Ok(read) = tokio::time::timeout_at(deadline, reading).await else {
+        return Err(Refusal {
             status: StatusCode::REQUEST_TIMEOUT,
             reason: "the body did not arrive in time",
             retry_after: None,
-        }),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
-        Ok(Err(_)) => Err(bad_request("the body broke off")),
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-    }
+        });
+    };
+    read.map_err(|error| match error {
+        BodyError::TooLarge => too_large(),
+        BodyError::Broken => bad_request("the body broke off"),
+        BodyError::NoMemory => no_memory("no memory is free for the body"),
+        BodyError::Stopped => no_memory("the body did not go on, and its memory was needed"),
+    })
+}
+
+fn no_memory(reason: &'static str) -> Refusal {
+    let retry_after = Some(NO_MEMORY_RETRY_AFTER);
+    Refusal { status: StatusCode::SERVICE_UNAVAILABLE, reason, retry_after }
 }
 
 fn bad_request(reason: &'static str) -> Refusal {
--- a/crates/fl-forward/src/http_server/response.rs
+++ b/crates/fl-forward/src/http_server/response.rs
@@ -2,11 +2,11 @@
 
 use crate::admission::Admission;
 use crate::backend_response::{BackendResponse, BackendResponseBody, EventRelay, RelayStep};
-use crate::connection_timeouts::ConnectionTimer;
 use crate::forwarding::Progress;
 use crate::log::event::{CallEnded, CallRefused};
 use crate::node::{ActiveCallGuard, Node};
 use bytes::Bytes;
+use fl_clients::ActiveRequest;
 use fl_kernel::forward::Refusal;
 use fl_protocol::forward::CallHead;
 use fl_routing::server_speed::ServerSpeed;
@@ -26,12 +26,15 @@
 /// the response broke off before it was complete
 pub struct IncompleteResponse;
 
-/// Notifies the connection's timer, when dropped, that its request was answered.
-pub(super) struct AnsweredGuard(pub(super) ConnectionTimer);
+/// The bytes of a whole answer, which are dropped once they are written to the caller.
+struct AnswerBytes {
+    bytes: Bytes,
+    _active_request: ActiveRequest,
+}
 
-impl Drop for AnsweredGuard {
-    fn drop(&mut self) {
-        self.0.on_answered();
+impl AsRef<[u8]> for AnswerBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
     }
 }
 
@@ -50,7 +53,7 @@
         self,
         refusal: &Refusal,
         progress: &Progress,
-        answered_guard: AnsweredGuard,
+        active_request: ActiveRequest,
     ) -> Response<ResponseBody> {
         let status = refusal.status;
         metrics::counter!(
@@ -72,13 +75,13 @@
             held_ms: millis(self.received_at),
         });
         let id = Some(self.head.id.as_str()).filter(|id| !id.is_empty());
-        let mut response = Response::new(full_body(Bytes::from_static(refusal.reason.as_bytes())));
+        let mut response =
+            Response::new(full_body(Bytes::from_static(refusal.reason.as_bytes()), active_request));
         *response.status_mut() = status;
         *response.headers_mut() = self.node.platform.codec.refusal_headers(id, refusal);
         if !self.node.is_ready() {
             set_connection_close(&mut response);
         }
-        drop(answered_guard);
         response
     }
 
@@ -88,7 +91,7 @@
         self,
         backend: BackendResponse,
         progress: &Progress,
-        answered_guard: AnsweredGuard,
+        active_request: ActiveRequest,
     ) -> Response<ResponseBody> {
         let first_ms = millis(self.received_at);
         let BackendResponse { status, headers, body, server, peer, predicted_ms, in_flight, speed } =
@@ -104,15 +107,14 @@
             in_flight,
             speed,
             outcome: "the caller left",
-            _answered_guard: answered_guard,
         };
         let must_close = !end_logger.record.node.is_ready();
         let body = match body {
             BackendResponseBody::Full(bytes) => {
                 end_logger.end("whole");
-                full_body(bytes)
+                full_body(bytes, active_request)
             }
-            BackendResponseBody::Events(relay) => event_body(*relay, end_logger),
+            BackendResponseBody::Events(relay) => event_body(*relay, end_logger, active_request),
         };
         let mut response = Response::new(body);
         *response.status_mut() = status;
@@ -146,7 +148,6 @@
     in_flight: u32,
     speed: ServerSpeed,
     outcome: &'static str,
-    _answered_guard: AnsweredGuard,
 }
 
 impl EndLogger {
@@ -185,19 +186,28 @@
     response.headers_mut().insert(header::CONNECTION, header::HeaderValue::from_static("close"));
 }
 
-fn full_body(bytes: Bytes) -> ResponseBody {
-    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+fn full_body(bytes: Bytes, active_request: ActiveRequest) -> ResponseBody {
+    active_request.on_answer(bytes.len());
+    let answer = AnswerBytes { bytes, _active_request: active_request };
+    Full::new(Bytes::from_owner(answer)).map_err(|never| match never {}).boxed_unsync()
 }
 
-fn event_body(relay: EventRelay, end_logger: EndLogger) -> ResponseBody {
-    let events = stream::unfold(Some((relay, end_logger)), |state| async move {
-        let (mut relay, mut end_logger) = state?;
+fn event_body(
+    relay: EventRelay,
+    end_logger: EndLogger,
+    active_request: ActiveRequest,
+) -> ResponseBody {
+    let state = Some((relay, end_logger, active_request));
+    let events = stream::unfold(state, |state| async move {
+        let (mut relay, mut end_logger, active_request) = state?;
         let step = relay.next_step().await;
         end_logger.server = relay.server().to_string();
         end_logger.peer = relay.peer();
         end_logger.sends = relay.sends();
         match step {
-            RelayStep::Event(bytes) => Some((Ok(Frame::data(bytes)), Some((relay, end_logger)))),
+            RelayStep::Event(bytes) => {
+                Some((Ok(Frame::data(bytes)), Some((relay, end_logger, active_request))))
+            }
             RelayStep::End => {
                 end_logger.end("whole");
                 None
--- a/crates/fl-forward/src/lib.rs
+++ b/crates/fl-forward/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod backend_response;
 pub mod clock;
 pub mod connection_pool;
-pub mod connection_timeouts;
 pub mod crash_suspects;
 pub mod duties;
 pub mod forwarding;
--- a/crates/fl-forward/src/lifecycle.rs
+++ b/crates/fl-forward/src/lifecycle.rs
@@ -8,6 +8,7 @@
     route_table, servers, shared_reads, stream_origins,
 };
 use bytes::Bytes;
+use fl_clients::{ConnectionSlot, TimedConnection};
 use fl_kernel::forward::ForwardSettings;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -32,6 +33,10 @@
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long the load balancer may keep a connection to the readiness address open.
 const READINESS_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long the head of the load balancer's request may take.
+const READINESS_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Largest head of a request to an address for monitoring.
+pub(crate) const MONITORING_BUFFER_BYTES_MAX: usize = 8 * 1024;
 /// Connections that the kernel queues until they are accepted.
 const BACKLOG_CONNECTIONS: i32 = 1024;
 /// How often a starting node checks whether it has become ready.
@@ -176,17 +181,24 @@
 }
 
 async fn serve_readiness(node: Arc<Node>, listener: TcpListener) {
-    while let Some(accepted) = node.cancel.run_until_cancelled(listener.accept()).await {
-        if let Ok((stream, _)) = accepted {
-            tokio::spawn(serve_readiness_connection(node.clone(), stream));
-        }
+    let probes = node.clients.monitoring_table("readiness");
+    loop {
+        let accepting = probes.accept(&listener, READINESS_HEAD_TIMEOUT, READINESS_TIMEOUT);
+        let Some((stream, _, slot)) = node.cancel.run_until_cancelled(accepting).await else {
+            return;
+        };
+        tokio::spawn(serve_readiness_connection(node.clone(), stream, slot));
     }
 }
 
-async fn serve_readiness_connection(node: Arc<Node>, stream: TcpStream) {
+async fn serve_readiness_connection(node: Arc<Node>, stream: TcpStream, slot: ConnectionSlot) {
+    let timer = slot.timer().clone();
+    let timed = TimedConnection::new(stream, timer.clone());
     let service = service_fn(move |_: Request<Incoming>| {
         let status = if node.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let active_request = timer.on_head_read();
         async move {
+            drop(active_request);
             let mut response = Response::new(Full::new(Bytes::new()));
             *response.status_mut() = status;
             Ok::<_, Infallible>(response)
@@ -194,7 +206,10 @@
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
-        .serve_connection(TokioIo::new(stream), service);
+        .header_read_timeout(None)
+        .max_buf_size(MONITORING_BUFFER_BYTES_MAX)
+        .serve_connection(TokioIo::new(timed), service);
     // After a timeout or an error, the load balancer opens another connection.
-    let _ = tokio::time::timeout(READINESS_TIMEOUT, connection).await;
+    let serving = tokio::time::timeout(READINESS_TIMEOUT, connection);
+    let _ = slot.closing().run_until_cancelled(serving).await;
 }
--- a/crates/fl-forward/src/metrics_endpoint.rs
+++ b/crates/fl-forward/src/metrics_endpoint.rs
@@ -1,7 +1,9 @@
 //! The HTTP endpoint for Prometheus metrics.
 
+use crate::lifecycle::MONITORING_BUFFER_BYTES_MAX;
 use crate::node::Node;
 use bytes::Bytes;
+use fl_clients::{ConnectionSlot, ConnectionTable, TimedConnection};
 use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -17,32 +19,42 @@
 pub const METRICS_PATH: &str = "/metrics";
 /// How long a client may keep a connection open.
 const CONNECTION_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long the head of a request may take.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
 /// Interval at which histograms are aggregated, so that their memory stays bounded between two
 /// scrapes.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Serves the endpoint until the node ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener, metrics: PrometheusHandle) {
+    let scrapes = node.clients.monitoring_table("metrics");
     let mut upkeep = tokio::time::interval(UPKEEP_INTERVAL);
     loop {
         tokio::select! {
             () = node.cancel.cancelled() => return,
             _ = upkeep.tick() => metrics.run_upkeep(),
-            accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    tokio::spawn(serve_connection(node.clone(), stream, metrics.clone()));
-                }
+            (stream, _, slot) = scrapes.accept(&listener, HEAD_TIMEOUT, CONNECTION_TIMEOUT) => {
+                tokio::spawn(serve_connection(node.clone(), stream, slot, metrics.clone()));
             }
         }
     }
 }
 
-async fn serve_connection(node: Arc<Node>, stream: TcpStream, metrics: PrometheusHandle) {
+async fn serve_connection(
+    node: Arc<Node>,
+    stream: TcpStream,
+    slot: ConnectionSlot,
+    metrics: PrometheusHandle,
+) {
+    let timer = slot.timer().clone();
+    let timed = TimedConnection::new(stream, timer.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let found = request.uri().path() == METRICS_PATH;
         set_gauges(&node);
         let text = if found { metrics.render() } else { String::new() };
+        let active_request = timer.on_head_read();
         async move {
+            drop(active_request);
             let mut response = Response::new(Full::new(Bytes::from(text)));
             if !found {
                 *response.status_mut() = StatusCode::NOT_FOUND;
@@ -52,10 +64,12 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let connection =
-        hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let connection = hyper::server::conn::http1::Builder::new()
+        .max_buf_size(MONITORING_BUFFER_BYTES_MAX)
+        .serve_connection(TokioIo::new(timed), service);
     // A client whose scrape fails or times out scrapes again.
-    let _ = tokio::time::timeout(CONNECTION_TIMEOUT, connection).await;
+    let serving = tokio::time::timeout(CONNECTION_TIMEOUT, connection);
+    let _ = slot.closing().run_until_cancelled(serving).await;
 }
 
 /// Sets the gauges that are computed at each scrape.
@@ -84,5 +98,21 @@
     metrics::gauge!("fl_quarantined").set(node.crash_suspects.quarantined_count() as f64);
     metrics::gauge!("fl_links_lost").set(f64::from(u8::from(node.links.are_lost())));
     metrics::gauge!("fl_nodes").set(node.peers.admitting_nodes() as f64);
+    set_client_gauges(node);
     metrics::gauge!("fl_calls_under_way").set(node.active_calls() as f64);
 }
+
+/// Sets the gauges of what clients and peers take, and of what they may take.
+fn set_client_gauges(node: &Node) {
+    let budget = node.clients.budget();
+    metrics::gauge!("fl_client_memory_max_bytes").set(budget.total_bytes() as f64);
+    let used_bytes = budget.total_bytes() - budget.free_bytes();
+    metrics::gauge!("fl_client_memory_bytes").set(used_bytes as f64);
+    let set_connections = |clients: &'static str, table: &ConnectionTable| {
+        let labels = [("clients", clients)];
+        metrics::gauge!("fl_client_connections", &labels).set(table.open_connections() as f64);
+        metrics::gauge!("fl_client_connections_max", &labels).set(table.connections_max() as f64);
+    };
+    set_connections("callers", node.clients.callers());
+    set_connections("peers", node.clients.peers());
+}
--- a/crates/fl-forward/src/node.rs
+++ b/crates/fl-forward/src/node.rs
@@ -17,6 +17,7 @@
 use crate::store_calls::{PurposeCalls, StoreCalls};
 use crate::stream_origins::NodeStreamOrigins;
 use crate::usage::UsageCounts;
+use fl_clients::{ClientLimits, ClientResources};
 use fl_kernel::forward::{CallCodec, ForwardSettings, PlatformDuties, PlatformStore};
 use parking_lot::Mutex;
 use std::sync::Arc;
@@ -57,6 +58,8 @@
     pub connections: ConnectionPool,
     /// Idle connections to peers that send calls on for this node.
     pub peer_connections: ConnectionPool,
+    /// Memory and connections that its clients and peers share.
+    pub clients: ClientResources,
     /// Whether it reaches any backend server.
     pub links: NodeLinks,
     /// What calls may have in common that crashes servers.
@@ -109,6 +112,7 @@
             rollouts: Arc::new(Rollouts::new(&settings.bounds, settings.has_rollouts)),
             peers: Peers::new(&settings),
             read_intervals: ReadIntervals::new(&settings.bounds),
+            clients: ClientResources::new(ClientLimits::of(settings.vm_limits)),
             settings,
             platform,
             log,
--- a/crates/fl-forward/src/peer_proxy/server.rs
+++ b/crates/fl-forward/src/peer_proxy/server.rs
@@ -8,20 +8,33 @@
 use crate::node::{ActiveCallGuard, Node};
 use crate::servers::{InFlightCall, Servers, note_load, note_response};
 use bytes::Bytes;
+use fl_clients::{ActiveRequest, BodyReader, ConnectionSlot, TimedConnection, serve_until_closed};
 use fl_protocol::forward::ServerEntry;
 use futures::stream;
 use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt as _, Full, Limited, StreamBody};
+use http_body_util::{BodyExt as _, Full, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
+/// How long the head of a peer's request may take. The peer has all of it before it connects.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long the body of a peer's request may take, for the same reason.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a peer's connection may stay idle. Peers close theirs earlier.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Bytes that are kept for a peer that reads slowly, and largest head of its request.
+const BUFFER_BYTES_MAX: usize = 64 * 1024;
+/// A frame below this size is copied, so that it does not keep the buffer alive that it came in.
+const COPIED_FRAME_BYTES_MAX: usize = 4 * 1024;
+
 type ResponseBody = UnsyncBoxBody<Bytes, ResponseBroken>;
 
 /// the server's response broke off
@@ -37,6 +50,7 @@
     sent_at: Instant,
     _active_call: ActiveCallGuard,
     _in_flight: InFlightCall,
+    _active_request: ActiveRequest,
 }
 
 /// A response that is passed on to the peer.
@@ -52,37 +66,50 @@
 
 /// Accepts the connections of peers until the node closes them to stop.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
-    while let Some(accepted) = node.closing.run_until_cancelled(listener.accept()).await {
-        if let Ok((stream, peer)) = accepted {
-            tokio::spawn(serve_connection(node.clone(), stream, peer));
-        }
+    loop {
+        let accepting = node.clients.peers().accept(&listener, HEAD_TIMEOUT, IDLE_TIMEOUT);
+        let Some((stream, peer, slot)) = node.closing.run_until_cancelled(accepting).await else {
+            return;
+        };
+        tokio::spawn(serve_connection(node.clone(), stream, peer, slot));
     }
 }
 
-async fn serve_connection(node: Arc<Node>, stream: TcpStream, peer: SocketAddr) {
+async fn serve_connection(
+    node: Arc<Node>,
+    stream: TcpStream,
+    peer: SocketAddr,
+    slot: ConnectionSlot,
+) {
     // If setting the options fails, the connection is broken and ends at its first read.
     let _ = set_socket_options(&stream);
     let service_node = node.clone();
+    let timer = slot.timer().clone();
+    let body_reader = BodyReader::new(&node.clients, &slot);
+    let timed = TimedConnection::new(stream, timer.clone()).with_resources(node.clients.clone());
     let service = service_fn(move |request| {
         let node = service_node.clone();
-        async move { Ok::<_, Infallible>(handle_request(node, request, peer).await) }
+        let active_request = timer.on_head_read();
+        let body_reader = body_reader.clone();
+        async move {
+            let response = handle_request(node, request, peer, active_request, body_reader).await;
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        _ = &mut connection => return,
-        () = node.closing.cancelled() => connection.as_mut().graceful_shutdown(),
-    }
-    let _ = node.cancel.run_until_cancelled(connection).await;
+        .max_buf_size(BUFFER_BYTES_MAX)
+        .serve_connection(TokioIo::new(timed), service);
+    serve_until_closed(connection, slot, &node.closing, &node.cancel).await;
 }
 
 async fn handle_request(
     node: Arc<Node>,
     mut request: Request<Incoming>,
     peer: SocketAddr,
+    active_request: ActiveRequest,
+    body_reader: BodyReader,
 ) -> Response<ResponseBody> {
     let Some(call) = ProxiedCall::take(request.headers_mut()) else {
         return empty_response(StatusCode::BAD_REQUEST);
@@ -90,8 +117,8 @@
     let answered = match find_server(&node, &call.server) {
         Err(failure) => Err(failure),
         Ok(server) if request.uri().path() == PROBE_PATH => probe(&node, &server).await,
-        Ok(server) => match Exchange::begin(&node, call, server, peer) {
-            Ok(exchange) => exchange.send(request).await,
+        Ok(server) => match Exchange::begin(&node, call, server, peer, active_request) {
+            Ok(exchange) => exchange.send(request, &body_reader).await,
             Err(failure) => Err(failure),
         },
     };
@@ -128,6 +155,7 @@
         call: ProxiedCall,
         server: ServerEntry,
         peer: SocketAddr,
+        active_request: ActiveRequest,
     ) -> Result<Self, ProxyFailure> {
         let in_flight = Servers::begin_proxied_call(node, &server);
         Ok(Exchange {
@@ -138,6 +166,7 @@
             sent_at: Instant::now(),
             _active_call: ActiveCallGuard::begin(node),
             _in_flight: in_flight.map_err(|_| ProxyFailure::Denied)?,
+            _active_request: active_request,
         })
     }
 
@@ -145,8 +174,9 @@
     async fn send(
         self,
         request: Request<Incoming>,
+        body_reader: &BodyReader,
     ) -> Result<Response<ResponseBody>, ProxyFailure> {
-        let sent = self.send_to_server(request).await;
+        let sent = self.send_to_server(request, body_reader).await;
         let (connection, response) = match sent {
             Ok(sent) => sent,
             Err(failure) => {
@@ -177,11 +207,14 @@
     async fn send_to_server(
         &self,
         request: Request<Incoming>,
+        body_reader: &BodyReader,
     ) -> Result<(Connection, Response<Incoming>), ProxyFailure> {
         let (parts, body) = request.into_parts();
         let bytes_max = self.node.route_table.current().limits.body_bytes;
-        let body = Limited::new(body, bytes_max).collect().await;
-        let body = body.map_err(|_| ProxyFailure::NotReached)?.to_bytes();
+        let reading = tokio::time::timeout(BODY_TIMEOUT, body_reader.read(body, bytes_max));
+        // Whatever the reason is, nothing was sent, which nodes of any version understand.
+        let body = reading.await.map_err(|_| ProxyFailure::NotReached)?;
+        let body = body.map_err(|_| ProxyFailure::NotReached)?;
         let build = || {
             let mut request = Request::new(Full::new(body.clone()));
             *request.method_mut() = parts.method.clone();
@@ -237,7 +270,7 @@
             match passed.body.frame().await {
                 Some(Ok(frame)) => {
                     passed.exchange.node.links.record_received();
-                    let data = frame.into_data().unwrap_or_default();
+                    let data = detach(frame.into_data().unwrap_or_default());
                     // The peer reads no further than the length of the response.
                     let rest = match passed.body.is_end_stream() {
                         true => passed.end(),
@@ -278,6 +311,14 @@
     }
 }
 
+/// Copies a small frame, which else keeps a larger buffer alive until the peer reads it.
+fn detach(data: Bytes) -> Bytes {
+    match data.len() < COPIED_FRAME_BYTES_MAX {
+        true => Bytes::copy_from_slice(&data),
+        false => data,
+    }
+}
+
 /// Takes out what concerns only the connection to the server.
 fn prepare_headers(headers: &mut HeaderMap) {
     let is_framed = headers.contains_key(header::CONTENT_LENGTH)
--- a/crates/fl-forward/src/sse.rs
+++ b/crates/fl-forward/src/sse.rs
@@ -56,6 +56,11 @@
         Some(SseEvent { id: event_id(&bytes), bytes })
     }
 
+    /// Returns the number of buffered bytes.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn has_partial(&self) -> bool {
         !self.pending.is_empty()
--- a/crates/fl-forward/tests/pages.rs
+++ b/crates/fl-forward/tests/pages.rs
@@ -43,7 +43,8 @@
 
 #[test]
 fn metrics_listed() {
-    let source = sources(&root().join("crates/fl-forward/src"));
+    let packages = ["crates/fl-forward/src", "crates/fl-clients/src"];
+    let source = packages.map(|package| sources(&root().join(package))).concat();
     let listed = listed(&operations_page(), "\n## Metrics");
     for metric in &listed {
         assert!(source.contains(&format!("\"{metric}\"")), "{metric} does not exist");
--- a/crates/fl-forward/tests/support/node.rs
+++ b/crates/fl-forward/tests/support/node.rs
@@ -13,6 +13,7 @@
     PlatformStore, Refusal, ResponseHead, RouteTableRead, RouteTableResponse, SendOptions,
     ServerList, StoreRevision, StoredRow, WriteOutcome,
 };
+use fl_protocol::VmLimits;
 use fl_protocol::forward::{CallHead, ResponseNotices, ServerEntry, ServerState, StoreVersion};
 use http::{HeaderMap, Request, request, response};
 use http_body_util::Full;
@@ -84,6 +85,7 @@
         orders_fleet: false,
         store_writes_per_s: 100.0,
         has_rollouts: false,
+        vm_limits: VmLimits::default(),
         bounds: ForwardBounds::default(),
     }
 }
--- a/crates/fl-kernel/src/forward/settings.rs
+++ b/crates/fl-kernel/src/forward/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a node that forwards calls, and the bounds that it has to keep.
 
-use fl_protocol::{DataCenterName, VmName};
+use fl_protocol::{DataCenterName, VmLimits, VmName};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -33,6 +33,8 @@
     pub store_writes_per_s: f64,
     /// Whether operators may order rollouts of software versions.
     pub has_rollouts: bool,
+    /// What the process may take of its VM.
+    pub vm_limits: VmLimits,
     /// Bounds that the node has to keep.
     pub bounds: ForwardBounds,
 }
--- a/crates/fl-protocol/src/lib.rs
+++ b/crates/fl-protocol/src/lib.rs
@@ -16,9 +16,11 @@
 pub mod problem;
 pub mod rendezvous;
 pub mod request;
+pub mod vm_limits;
 
 pub use configuration::{CallClass, Configuration, Model, PlainService, Priority, Workspace};
 pub use ids::*;
 pub use member::{Member, MemberState};
 pub use problem::{ExecutionState, Problem, ProblemBody};
 pub use request::RequestRecord;
+pub use vm_limits::VmLimits;
