--- a/crates/fl-config/src/read_settings.rs
+++ b/crates/fl-config/src/read_settings.rs
@@ -4,12 +4,14 @@
 use crate::error::{ConfigError, ConfigErrors};
 use crate::settings::*;
 use crate::value::*;
+use fl_protocol::VmLimits;
 use std::path::Path;
 
 const SECTIONS: &str =
     "one of [node], [listen], [platform], [fleet], [limits], [membership], [routing], [log]";
 const HOUR_MS: u64 = 3_600_000;
 const MINUTE_MS: u64 = 60_000;
+const BYTES_PER_MB: usize = 1_000_000;
 const HEADER_BYTES_MAX: usize = 1 << 20;
 const BODY_BYTES_MAX: usize = 64 << 20;
 
@@ -135,6 +137,9 @@
     let header_bytes =
         section.optional("header_bytes", "16384", size_bytes(1024..=HEADER_BYTES_MAX));
     let body_bytes = section.optional("body_bytes", "1048576", size_bytes(1024..=BODY_BYTES_MAX));
+    let memory_mb = section.optional("memory_mb", "256", small_number(32..=1_000_000));
+    let file_descriptors =
+        section.optional("file_descriptors", "1024", small_number(256..=1_000_000));
     let retry_budget_percent =
         section.optional("retry_budget_percent", "10", small_number(0..=100));
     section.finish();
@@ -148,6 +153,10 @@
         give_up: give_up?,
         resume_window: resume_window?,
         drain_timeout: drain_timeout?,
+        vm: VmLimits {
+            memory_bytes: memory_mb? as usize * BYTES_PER_MB,
+            file_descriptors: file_descriptors? as usize,
+        },
         retry_budget_percent: retry_budget_percent?,
     })
 }
--- a/crates/fl-config/src/settings.rs
+++ b/crates/fl-config/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of one node.
 
-use fl_protocol::{DataCenterName, VmName};
+use fl_protocol::{DataCenterName, VmLimits, VmName};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -103,6 +103,8 @@
     pub resume_window: Duration,
     /// `drain_timeout_ms`: time for which a stopping node lets requests in flight continue.
     pub drain_timeout: Duration,
+    /// `memory_mb` and `file_descriptors`: what the process may take of its VM.
+    pub vm: VmLimits,
     /// `retry_budget_percent`: retry budget as a percentage of first attempts.
     pub retry_budget_percent: u32,
 }
--- a/crates/fl-ctl/tests/pages.rs
+++ b/crates/fl-ctl/tests/pages.rs
@@ -138,6 +138,7 @@
     let text = String::new;
     vec![
         Problem::Malformed(text()),
+        Problem::NoMemory { retry_after },
         Problem::UnknownWorkspace(text()),
         Problem::WrongKey,
         Problem::NotAllowed { kind: text(), name: text() },
--- a/crates/fl-node/src/caller_api.rs
+++ b/crates/fl-node/src/caller_api.rs
@@ -14,13 +14,16 @@
 use crate::model_requests::{ModelRequests, ServiceHandles};
 use crate::readiness::Readiness;
 use bytes::Bytes;
+use fl_clients::{
+    ActiveRequest, AnsweredBody, BodyError, BodyReader, ClientLimits, ClientResources,
+    ConnectionSlot, TimedConnection, serve_until_closed,
+};
 use fl_kernel::RegistryError;
 use fl_kernel::services::EventLog;
 use fl_protocol::chat::{CHAT_PATH, REQUESTS_PATH, SERVICES_PATH};
 use fl_protocol::event::EventKind;
 use fl_protocol::{ExecutionState, Problem};
-use http::{Method, Request, Response, header};
-use http_body_util::{BodyExt as _, Limited};
+use http::{Method, Request, Response};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -33,6 +36,8 @@
 /// The smallest buffer that hyper accepts; it panics on less.
 const HYPER_MIN_BUFFER_BYTES: usize = 8192;
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Bodies that do not go on have made room by then.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The services that the API for callers uses.
 pub struct CallerApi {
@@ -41,6 +46,7 @@
     services: Arc<ServiceHandles>,
     events: Arc<dyn EventLog>,
     readiness: Arc<Readiness>,
+    clients: ClientResources,
 }
 
 /// Starts to listen for callers.
@@ -55,28 +61,29 @@
         .map_err(|error| StartError::Listen(address.to_string(), error.to_string()))?;
     let services = Arc::new(requests.find_services()?);
     let events = context.registry.find::<dyn EventLog>(fl_kernel::names::EVENT_LOG)?;
-    let api = CallerApi { context: context.clone(), requests, services, events, readiness };
+    let clients = ClientResources::new(ClientLimits::of(context.settings.limits.vm));
+    let api =
+        CallerApi { context: context.clone(), requests, services, events, readiness, clients };
     context.spawn(listen(Arc::new(api), listener));
     Ok(())
 }
 
 async fn listen(api: Arc<CallerApi>, listener: TcpListener) {
     let shutdown = api.context.shutdown.clone();
+    let limits = &api.context.settings.limits;
     loop {
-        tokio::select! {
-            () = shutdown.cancelled() => return,
-            accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    let api = api.clone();
-                    api.context.clone().spawn(serve(api, stream));
-                }
-            }
-        }
+        // A caller that does not read its answer is given as long as a request without tokens.
+        let callers = api.clients.callers();
+        let accepting = callers.accept(&listener, limits.header_timeout, limits.give_up);
+        let Some((stream, _, slot)) = shutdown.run_until_cancelled(accepting).await else {
+            return;
+        };
+        api.context.spawn(serve(api.clone(), stream, slot));
     }
 }
 
 /// Serves one connection; when the node stops, the response in progress is finished first.
-async fn serve(api: Arc<CallerApi>, stream: TcpStream) {
+async fn serve(api: Arc<CallerApi>, stream: TcpStream, slot: ConnectionSlot) {
     let _ = stream.set_nodelay(true);
     let limits = &api.context.settings.limits;
     let mut builder = hyper::server::conn::http1::Builder::new();
@@ -86,22 +93,28 @@
         .max_buf_size(limits.header_bytes.max(HYPER_MIN_BUFFER_BYTES));
     let draining = api.context.draining.clone();
     let shutdown = api.context.shutdown.clone();
+    let timer = slot.timer().clone();
+    let body_reader = BodyReader::new(&api.clients, &slot);
+    let timed = TimedConnection::new(stream, timer.clone()).with_resources(api.clients.clone());
     let service = service_fn(move |request| {
-        let api = api.clone();
-        async move { Ok::<_, Infallible>(handle_request(api, request).await) }
+        let (api, body_reader) = (api.clone(), body_reader.clone());
+        let active_request: ActiveRequest = timer.on_head_read();
+        async move {
+            let response = handle_request(api, request, body_reader).await;
+            Ok::<_, Infallible>(response.map(|body| AnsweredBody::new(body, active_request)))
+        }
     });
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        _ = &mut connection => return,
-        () = draining.cancelled() => connection.as_mut().graceful_shutdown(),
-    }
-    let _ = shutdown.run_until_cancelled(connection).await;
+    let connection = builder.serve_connection(TokioIo::new(timed), service);
+    serve_until_closed(connection, slot, &draining, &shutdown).await;
 }
 
-async fn handle_request(api: Arc<CallerApi>, request: Request<Incoming>) -> Response<ResponseBody> {
+async fn handle_request(
+    api: Arc<CallerApi>,
+    request: Request<Incoming>,
+    body_reader: BodyReader,
+) -> Response<ResponseBody> {
     let may_have_run = service_calls::may_have_run(&request);
-    match route(&api, request).await {
+    match route(&api, request, &body_reader).await {
         Ok(response) => response,
         Err(refusal) => {
             let kind = refusal.problem.kind();
@@ -142,6 +155,7 @@
 async fn route(
     api: &Arc<CallerApi>,
     request: Request<Incoming>,
+    body_reader: &BodyReader,
 ) -> Result<Response<ResponseBody>, Refusal> {
     if api.context.draining.is_cancelled() {
         let reason = "it is shutting down".to_string();
@@ -157,14 +171,14 @@
         if head.method != Method::POST {
             return Err(malformed_request("use POST for model calls").into());
         }
-        let body = read_body(api, &head.headers, body).await?;
+        let body = read_body(api, body_reader, body).await?;
         return model_calls::handle(api, &caller, &head.headers, body).await;
     }
     if let Some(id_text) = path.strip_prefix(REQUESTS_PATH) {
         return accepted_requests::handle(api, &caller, &head, id_text).await;
     }
     if path.starts_with(SERVICES_PATH) {
-        let body = read_body(api, &head.headers, body).await?;
+        let body = read_body(api, body_reader, body).await?;
         return service_calls::handle(api, &caller, &head, body).await;
     }
     Err(malformed_request(&format!("unknown path {path}")).into())
@@ -177,27 +191,23 @@
 
 async fn read_body(
     api: &CallerApi,
-    headers: &http::HeaderMap,
+    body_reader: &BodyReader,
     body: Incoming,
 ) -> Result<Bytes, Problem> {
     let limits = &api.context.settings.limits;
-    let limit_bytes = limits.body_bytes as u64;
-    let content_length = headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
-    if content_length
-        .and_then(|text| text.parse::<u64>().ok())
-        .is_some_and(|size| size > limit_bytes)
-    {
-        return Err(Problem::BodyTooLarge { limit_bytes });
-    }
-    let body_future = Limited::new(body, limits.body_bytes).collect();
-    match tokio::time::timeout(limits.body_timeout, body_future).await {
-        Err(_) => Err(malformed_request("the body did not arrive in time")),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Problem::BodyTooLarge { limit_bytes })
+    let reading = body_reader.read(body, limits.body_bytes);
+    let Ok(read) = tokio::time::timeout(limits.body_timeout, reading).await else {
+        return Err(malformed_request("the body did not arrive in time"));
+    };
+    read.map_err(|error| match error {
+        BodyError::TooLarge => Problem::BodyTooLarge { limit_bytes: limits.body_bytes as u64 },
+        BodyError::Broken => {
+            malformed_request("the connection broke before the whole body arrived")
         }
-        Ok(Err(_)) => Err(malformed_request("the connection broke before the whole body arrived")),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-    }
+        BodyError::NoMemory | BodyError::Stopped => {
+            Problem::NoMemory { retry_after: NO_MEMORY_RETRY_AFTER }
+        }
+    })
 }
 
 impl CallerApi {
--- a/crates/fl-protocol/src/problem.rs
+++ b/crates/fl-protocol/src/problem.rs
@@ -42,6 +42,11 @@
         /// Largest allowed body, in bytes.
         limit_bytes: u64,
     },
+    /// no memory is free for the body, so the call was not started; come back later
+    NoMemory {
+        /// Time after which the caller may retry.
+        retry_after: Duration,
+    },
     /// the idempotency key was used with another body; use a new key for a new call
     KeyReused,
     /// the service {0} requires an Idempotency-Key header; choose a key and send it with each try
@@ -129,6 +134,7 @@
             Problem::WrongKey => "wrong-key",
             Problem::NotAllowed { .. } => "not-allowed",
             Problem::BodyTooLarge { .. } => "body-too-large",
+            Problem::NoMemory { .. } => "no-memory",
             Problem::KeyReused => "key-reused",
             Problem::KeyRequired(_) => "key-required",
             Problem::UnknownRequest(_) => "unknown-request",
@@ -160,7 +166,8 @@
             Problem::OverLimit { .. } => 429,
             Problem::Internal(_) => 500,
             Problem::OutcomeUnknown => 502,
-            Problem::Overloaded { .. }
+            Problem::NoMemory { .. }
+            | Problem::Overloaded { .. }
             | Problem::NoBackend { .. }
             | Problem::PlatformUnavailable { .. }
             | Problem::EarlierTryUnknown { .. }
@@ -173,6 +180,7 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Problem::OverLimit { retry_after, .. }
+            | Problem::NoMemory { retry_after }
             | Problem::Overloaded { retry_after }
             | Problem::NoBackend { retry_after }
             | Problem::PlatformUnavailable { retry_after }
