--- a/crates/fl-forward/src/attempt.rs
+++ b/crates/fl-forward/src/attempt.rs
@@ -2,7 +2,7 @@
 
 mod failure;
 
-pub use failure::{AttemptFailure, CrashSign};
+pub use failure::{AttemptFailure, CrashSign, is_final_status};
 
 use crate::connection_pool::{Connection, SendError, send_on_pooled};
 use crate::forwarding::{Call, Progress, refuse_denied, refuse_expired, refuse_failed};
--- a/crates/fl-forward/src/attempt/failure.rs
+++ b/crates/fl-forward/src/attempt/failure.rs
@@ -2,7 +2,12 @@
 
 use crate::connection_pool::SendError;
 use fl_kernel::forward::ResponseHead;
+use http::StatusCode;
 use std::net::SocketAddr;
+use std::ops::Range;
+
+/// Statuses of final responses.
+const FINAL_STATUSES: Range<u16> = 200..600;
 
 /// Whether a failed attempt points to a crash of the server under the call.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -47,9 +52,17 @@
     pub is_misdirected: bool,
 }
 
+/// Returns whether a status may end a request. Others, which the HTTP library lets through, are
+/// signs of a server in trouble.
+pub fn is_final_status(status: StatusCode) -> bool {
+    FINAL_STATUSES.contains(&status.as_u16())
+}
+
 /// Returns why a response cannot be used, judged by its head; `None` if it can.
 pub(super) fn head_failure(head: &ResponseHead) -> Option<AttemptFailure> {
-    let (reason, may_have_run) = if !head.matches_call {
+    let (reason, may_have_run) = if !is_final_status(head.status) {
+        ("the answer has a status that HTTP does not know", true)
+    } else if !head.matches_call {
         ("the answer belongs to another call", true)
     } else if head.is_misdirected {
         ("another server is at its address", false)
--- a/crates/fl-forward/src/peer_proxy/server.rs
+++ b/crates/fl-forward/src/peer_proxy/server.rs
@@ -1,6 +1,7 @@
 //! The side of the peer: sends one request to a server and returns the response.
 
 use super::message::{PROBE_PATH, ProxiedCall, ProxyFailure, mark_unframed};
+use crate::attempt::is_final_status;
 use crate::connection_pool::{Connection, SendError, send_on_pooled, set_socket_options};
 use crate::crash_suspects::{BrokenCall, accepts_connections, note_broken_connection};
 use crate::links;
@@ -184,6 +185,10 @@
                 return Err(failure);
             }
         };
+        if !is_final_status(response.status()) {
+            self.log_end(ProxyFailure::Lost.name());
+            return Err(ProxyFailure::Lost);
+        }
         let (mut parts, body) = response.into_parts();
         let head = self.node.platform.codec.parse_response(&self.call.call_id, &parts);
         let is_answer = head.matches_call && !head.is_misdirected;
