--- a/crates/fl-clients/src/connection_table.rs
+++ b/crates/fl-clients/src/connection_table.rs
@@ -201,10 +201,10 @@
     }
 }
 
-/// Bounds what the kernel keeps for a connection. If that fails, the connection is broken and ends at
-/// its first read.
-fn limit_buffers(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
+/// Bounds what the kernel keeps for a connection, or for those that wait to be accepted by a listener.
+/// If that fails, they take more memory and work all the same.
+pub fn limit_buffers<'a>(socket: impl Into<SockRef<'a>>) {
+    let socket = socket.into();
     let _ = socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES);
     let _ = socket.set_send_buffer_size(SOCKET_BUFFER_BYTES);
 }
--- a/crates/fl-clients/src/connection_timer.rs
+++ b/crates/fl-clients/src/connection_timer.rs
@@ -82,6 +82,11 @@
 }
 
 impl ActiveRequest {
+    /// Counts memory as held for the connection.
+    pub fn hold(&self, reservation: Reservation) -> HeldBytes {
+        self.timer.hold(reservation)
+    }
+
     /// Notes the size of the answer that is written next.
     pub fn on_answer(&self, answer_bytes: usize) {
         self.timer.shared.lock().answer_bytes = answer_bytes;
--- a/crates/fl-clients/src/lib.rs
+++ b/crates/fl-clients/src/lib.rs
@@ -19,7 +19,7 @@
 pub use answered_body::AnsweredBody;
 pub use body::{BodyError, BodyReader};
 pub use budget::{MemoryBudget, Reservation};
-pub use connection_table::{ConnectionSlot, ConnectionTable};
+pub use connection_table::{ConnectionSlot, ConnectionTable, limit_buffers};
 pub use connection_timer::{ActiveRequest, ConnectionTimer, HeldBytes};
 pub use limits::{CONNECTION_BYTES, ClientLimits, INCLUDED_BYTES};
 pub use read_some::poll_read_some;
--- a/crates/fl-clients/src/resources.rs
+++ b/crates/fl-clients/src/resources.rs
@@ -9,6 +9,8 @@
 
 /// How long a reservation waits for the connections that are closed to make room.
 const ROOM_TIMEOUT: Duration = Duration::from_millis(200);
+/// Pause until an answer asks for memory again. Smaller reservations get their turn meanwhile.
+const ANSWER_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// The memory and the connections that all clients of a node share. Clones share them too.
 #[derive(Debug, Clone)]
@@ -79,10 +81,13 @@
     ///
     /// Returns an error if there is less memory than that in all.
     pub async fn reserve_for_answer(&self, bytes: usize) -> Result<Reservation, NoMemory> {
-        if let Ok(reservation) = self.reserve(bytes).await {
-            return Ok(reservation);
+        while bytes <= self.shared.budget.total_bytes() {
+            if let Ok(reservation) = self.reserve(bytes).await {
+                return Ok(reservation);
+            }
+            tokio::time::sleep(ANSWER_RETRY_DELAY).await;
         }
-        self.shared.budget.reserve(bytes).await.ok_or(NoMemory)
+        Err(NoMemory)
     }
 
     fn make_room(&self, bytes: usize) {
--- a/crates/fl-forward/src/forwarding.rs
+++ b/crates/fl-forward/src/forwarding.rs
@@ -11,7 +11,7 @@
 use crate::log::event::AttemptFailed;
 use crate::node::Node;
 use bytes::Bytes;
-use fl_clients::Reservation;
+use fl_clients::HeldBytes;
 use fl_kernel::clock::unix_ms;
 use fl_kernel::forward::Refusal;
 use fl_limits::SlidingRetryBudget;
@@ -50,7 +50,7 @@
     /// What it may have in common with calls that crashed servers.
     pub suspect_keys: Vec<SuspectKey>,
     /// Memory of its prompt's parts, if they are very many.
-    pub _parts_memory: Option<Reservation>,
+    pub _parts_memory: Option<HeldBytes>,
 }
 
 /// The attempts of a call so far.
--- a/crates/fl-forward/src/http_server.rs
+++ b/crates/fl-forward/src/http_server.rs
@@ -12,7 +12,7 @@
 use crate::stream_origins::find_origin;
 use bytes::Bytes;
 use fl_clients::{
-    ActiveRequest, BodyError, BodyReader, ConnectionSlot, INCLUDED_BYTES, NoMemory, Reservation,
+    ActiveRequest, BodyError, BodyReader, ConnectionSlot, HeldBytes, INCLUDED_BYTES, NoMemory,
     TimedConnection, serve_until_closed,
 };
 use fl_kernel::forward::Refusal;
@@ -121,7 +121,8 @@
     record.head =
         head.map_err(|_| before_sending(bad_request("the request's head cannot be read")))?;
     check_length(&parts.headers, incoming.limits).map_err(before_sending)?;
-    let parts_memory = reserve_prompt_parts(&node, &record.head).await.map_err(before_sending)?;
+    let parts_memory =
+        reserve_prompt_parts(&node, &record.head, incoming).await.map_err(before_sending)?;
     let admission = admit(&node, &record.head, record.received_at).map_err(before_sending)?;
     record.admission = Some(admission.clone());
     let body = read_body(body, incoming, admission.deadline).await.map_err(before_sending)?;
@@ -177,14 +178,17 @@
 async fn reserve_prompt_parts(
     node: &Node,
     head: &CallHead,
-) -> Result<Option<Reservation>, Refusal> {
+    incoming: &IncomingCall,
+) -> Result<Option<HeldBytes>, Refusal> {
     let parts = head.model.as_ref().map_or(0, |model| model.parts.len());
     let bytes = parts * PROMPT_PART_BYTES;
     if bytes <= INCLUDED_BYTES {
         return Ok(None);
     }
     let reserved = node.clients.reserve(bytes).await;
-    reserved.map(Some).map_err(|NoMemory| no_memory("no memory is free for the prompt's parts"))
+    let reservation =
+        reserved.map_err(|NoMemory| no_memory("no memory is free for the prompt's parts"))?;
+    Ok(Some(incoming.active_request.hold(reservation)))
 }
 
 async fn read_body(
--- a/crates/fl-forward/src/lifecycle.rs
+++ b/crates/fl-forward/src/lifecycle.rs
@@ -8,7 +8,7 @@
     route_table, servers, shared_reads, stream_origins,
 };
 use bytes::Bytes;
-use fl_clients::{ConnectionSlot, TimedConnection};
+use fl_clients::{ConnectionSlot, TimedConnection, limit_buffers};
 use fl_kernel::forward::ForwardSettings;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -172,6 +172,7 @@
     let open = || {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
+        limit_buffers(&socket);
         socket.set_nonblocking(true)?;
         socket.bind(&address.into())?;
         socket.listen(BACKLOG_CONNECTIONS)?;
--- a/crates/fl-node/src/caller_api.rs
+++ b/crates/fl-node/src/caller_api.rs
@@ -16,7 +16,7 @@
 use bytes::Bytes;
 use fl_clients::{
     ActiveRequest, AnsweredBody, BodyError, BodyReader, ClientLimits, ClientResources,
-    ConnectionSlot, TimedConnection, serve_until_closed,
+    ConnectionSlot, TimedConnection, limit_buffers, serve_until_closed,
 };
 use fl_kernel::RegistryError;
 use fl_kernel::services::EventLog;
@@ -59,6 +59,7 @@
     let listener = TcpListener::bind(address)
         .await
         .map_err(|error| StartError::Listen(address.to_string(), error.to_string()))?;
+    limit_buffers(&listener);
     let services = Arc::new(requests.find_services()?);
     let events = context.registry.find::<dyn EventLog>(fl_kernel::names::EVENT_LOG)?;
     let clients = ClientResources::new(ClientLimits::of(context.settings.limits.vm));
