--- a/crates/fl-forward/src/backend_response/relay.rs
+++ b/crates/fl-forward/src/backend_response/relay.rs
@@ -184,14 +184,14 @@
             return self.deliver(event);
         }
         if self.has_ended {
-            return self.finish().await;
+            return self.finish();
         }
         loop {
             let reading = self.source.next_event();
             match tokio::time::timeout_at(self.call.admission.deadline, reading).await {
                 Ok(Ok(Some(event))) if self.is_duplicate(&event) => {}
                 Ok(Ok(Some(event))) => return self.deliver(event),
-                Ok(Ok(None)) => return self.finish().await,
+                Ok(Ok(None)) => return self.finish(),
                 Err(_) => return RelayStep::Broken("the time for the call is over"),
                 Ok(Err(error)) => {
                     if !self.resume(error).await {
@@ -243,12 +243,14 @@
         matches!((event.id, self.last_event_id), (Some(id), Some(last)) if id <= last)
     }
 
-    async fn finish(&mut self) -> RelayStep {
+    fn finish(&mut self) -> RelayStep {
         self.has_ended = true;
         self.source.watch.on_end(&self.node.log);
         crash_suspects::note_answer(&self.node, &self.call);
         if let Some(connection) = self.source.connection.take() {
-            self.node.keep_connection(connection, &self.call.admission.service).await;
+            let (node, service) = (self.node.clone(), self.call.admission.service.clone());
+            // The server may not have read the whole request yet; the caller does not wait for that.
+            tokio::spawn(async move { node.keep_connection(connection, &service).await });
         }
         RelayStep::End
     }
--- a/crates/fl-forward/src/connection_pool.rs
+++ b/crates/fl-forward/src/connection_pool.rs
@@ -37,6 +37,8 @@
 /// Size of the kernel's buffer for what a server has sent and the node has not read, as for a stream
 /// whose caller reads slowly.
 const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+/// How long the rest of a request may take that is still being written when its response has ended.
+const READY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Idle limit of connections to a server that states no keep-alive timeout.
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// Share of the stated keep-alive timeout that is used. The server starts to count it earlier than
@@ -212,10 +214,12 @@
     /// Returns a connection to the pool once it is ready for the next call. Its last response must
     /// have ended cleanly.
     ///
-    /// It is closed if `idle_connections_max` are pooled for its server, see
+    /// It is closed if its request is still being written a second later, or if `idle_connections_max` are pooled for its server, see
     /// [`idle_connections_max`].
     pub async fn put_back(&self, mut connection: Connection, idle_connections_max: usize) {
-        if connection.sender.ready().await.is_err() {
+        let becoming_ready = connection.sender.ready();
+        let ready = tokio::time::timeout(READY_TIMEOUT, becoming_ready).await;
+        if !matches!(ready, Ok(Ok(()))) {
             return;
         }
         connection.idle_since = Instant::now();
