--- a/crates/fl-forward/src/lifecycle.rs
+++ b/crates/fl-forward/src/lifecycle.rs
@@ -2,6 +2,7 @@
 
 use crate::log::Log;
 use crate::log::event::{NodeLeaving, NodeReady, NodeStarted, NodeStopped, SettingsReread};
+use crate::metrics_endpoint::MONITORING_BUFFER_BYTES_MAX;
 use crate::node::{Node, PlatformAdapters};
 use crate::{
     crash_suspects, duties, http_server, links, metrics_endpoint, peer_proxy, peers, rollouts,
@@ -35,8 +36,6 @@
 const READINESS_TIMEOUT: Duration = Duration::from_secs(30);
 /// How long the head of the load balancer's request may take.
 const READINESS_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
-/// Largest head of a request to an address for monitoring.
-pub(crate) const MONITORING_BUFFER_BYTES_MAX: usize = 8 * 1024;
 /// Connections that the kernel queues until they are accepted.
 const BACKLOG_CONNECTIONS: i32 = 1024;
 /// How often a starting node checks whether it has become ready.
--- a/crates/fl-forward/src/metrics_endpoint.rs
+++ b/crates/fl-forward/src/metrics_endpoint.rs
@@ -1,6 +1,5 @@
 //! The HTTP endpoint for Prometheus metrics.
 
-use crate::lifecycle::MONITORING_BUFFER_BYTES_MAX;
 use crate::node::Node;
 use bytes::Bytes;
 use fl_clients::{ConnectionSlot, ConnectionTable, TimedConnection};
@@ -17,6 +16,8 @@
 
 /// The path of the endpoint.
 pub const METRICS_PATH: &str = "/metrics";
+/// Largest head of a request to an address for monitoring.
+pub(crate) const MONITORING_BUFFER_BYTES_MAX: usize = 8 * 1024;
 /// How long a client may keep a connection open.
 const CONNECTION_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long the head of a request may take.
--- a/crates/fl-forward/src/peer_proxy.rs
+++ b/crates/fl-forward/src/peer_proxy.rs
@@ -5,6 +5,7 @@
 //! it never sends a call to another peer. See `docs/design/110-lost-links.md`.
 
 mod client;
+mod exchange;
 mod message;
 mod server;
 
