--- a/crates/fl-clients/src/lib.rs
+++ b/crates/fl-clients/src/lib.rs
@@ -22,7 +22,6 @@
 pub use connection_table::{ConnectionSlot, ConnectionTable, limit_buffers};
 pub use connection_timer::{ActiveRequest, ConnectionTimer, HeldBytes};
 pub use limits::{CONNECTION_BYTES, ClientLimits, INCLUDED_BYTES};
-pub use read_some::poll_read_some;
 pub use reserved_buffer::{NoMemory, ReservedBuffer, hold_bytes};
 pub use resources::ClientResources;
 pub use serve::serve_until_closed;
--- a/crates/fl-clients/src/read_some.rs
+++ b/crates/fl-clients/src/read_some.rs
@@ -9,7 +9,7 @@
 const READ_BYTES_MAX: usize = 16 * 1024;
 
 /// Reads at most 16 KiB from a connection; returns how many bytes were read.
-pub fn poll_read_some<C: AsyncRead>(
+pub(crate) fn poll_read_some<C: AsyncRead>(
     connection: Pin<&mut C>,
     cx: &mut Context<'_>,
     buffer: &mut ReadBuf<'_>,
--- a/crates/fl-clients/src/reserved_buffer.rs
+++ b/crates/fl-clients/src/reserved_buffer.rs
@@ -102,6 +102,10 @@
     async fn reserve_memory(&self, bytes: usize) -> Result<HeldBytes, NoMemory> {
         match &self.connection {
             Some(connection) => Ok(connection.hold(self.resources.reserve(bytes).await?)),
+            // One that holds memory already does not wait long for more, as others wait for its part.
+            None if self.memory.is_some() => {
+                self.resources.reserve(bytes).await.map(HeldBytes::from)
+            }
             None => self.resources.reserve_for_answer(bytes).await.map(HeldBytes::from),
         }
     }
--- a/crates/fl-forward/src/connection_pool.rs
+++ b/crates/fl-forward/src/connection_pool.rs
@@ -12,7 +12,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
@@ -36,7 +36,9 @@
 const TCP_KEEPALIVE_PROBES: u32 = 3;
 /// Size of the kernel's buffer for what a server has sent and the node has not read, as for a stream
 /// whose caller reads slowly.
-const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
+/// Largest buffer of the HTTP library for a server's connection, and so largest single head.
+const LIBRARY_BUFFER_BYTES_MAX: usize = 64 * 1024;
 /// How long the rest of a request may take that is still being written when its response has ended.
 const READY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Idle limit of connections to a server that states no keep-alive timeout.
@@ -96,7 +98,9 @@
         let _ = SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
         let head_limit = HeadLimit::new();
         let stream = HeadLimitedStream::new(stream, head_limit.clone());
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let (sender, connection) = Builder::new()
+            .max_buf_size(LIBRARY_BUFFER_BYTES_MAX)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| connect_error(error.to_string()))?;
         // An error of the connection is also returned to the call that uses it.
--- a/crates/fl-forward/src/connection_pool/head_limit.rs
+++ b/crates/fl-forward/src/connection_pool/head_limit.rs
@@ -1,6 +1,5 @@
 //! Limits the bytes that a server may send until the head of its response is complete.
 
-use fl_clients::poll_read_some;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -65,7 +64,9 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
-        let read = ready!(poll_read_some(Pin::new(&mut self.stream), context, buffer))?;
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let read = buffer.filled().len() - before;
         Poll::Ready(self.limit.take(read).map_err(std::io::Error::other))
     }
 }
